--- /dev/null
+++ b/run.py
@@ -0,0 +1,12 @@
+"""Thin entry: puts the built libraries and the sources on the path and hands over."""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent
+sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
+
+from beamspar.cli import main  # noqa: E402
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/beamspar/cli.py
@@ -0,0 +1,89 @@
+"""The program: flags and variables, logging, and the reactor."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+
+import click
+
+from beamspar import __version__
+from beamspar.settings import Settings, SettingsError, Tuning, load
+
+
+def start_log(level_name: str) -> None:
+    """Log lines to standard error, no more than LOG_LEVEL asks for."""
+    from twisted.logger import (
+        FilteringLogObserver,
+        LogLevel,
+        LogLevelFilterPredicate,
+        formatEvent,
+        globalLogBeginner,
+    )
+
+    levels = {"error": LogLevel.error, "info": LogLevel.info, "debug": LogLevel.debug}
+    predicate = LogLevelFilterPredicate(levels.get(level_name, LogLevel.info))
+    predicate.setLogLevelForNamespace("twisted", LogLevel.error)
+
+    def write(event: Any) -> None:
+        failure = event.get("log_failure")
+        text = formatEvent(event)
+        if failure is not None:
+            text += "\n" + failure.getTraceback()
+        level = getattr(event.get("log_level"), "name", "info")
+        sys.stderr.write(f"{level} {event.get('log_namespace', '')}: {text}\n")
+        sys.stderr.flush()
+
+    observer = FilteringLogObserver(write, [predicate])  # type: ignore[arg-type]
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
+
+
+def serve(settings: Settings, tuning: Tuning) -> None:
+    """Run one controller until it is killed."""
+    import random
+
+    from twisted.internet import reactor
+
+    from beamspar.control.node import Node
+    from beamspar.http import RealNet, spawn
+    from beamspar.settings import Timing
+    from beamspar.wire import BODY_LIMIT
+
+    start_log(os.environ.get("LOG_LEVEL", "info"))
+    timing = Timing(settings, tuning)
+    net = RealNet(reactor, timing.call, BODY_LIMIT)
+    node = Node(reactor, net, settings, tuning, random.Random())  # type: ignore[arg-type]
+    reactor.callWhenRunning(spawn, node.start(), "start")  # type: ignore[attr-defined]
+    reactor.run()  # type: ignore[attr-defined]
+
+
+@click.command()
+@click.option("--config", required=True, type=str, help="The platform's settings file (TOML).")
+@click.option("--check", is_flag=True, help="Validate the settings and stop.")
+@click.option(
+    "--block-size", default=1, show_default=True, envvar="BEAMSPAR_BLOCK_SIZE",
+    type=click.IntRange(1, 100), help="Machines that are leased together.",
+)
+@click.option(
+    "--lease-share", default=1.0, show_default=True, envvar="BEAMSPAR_LEASE_SHARE",
+    type=click.FloatRange(0.1, 1.0), help="Lease length as a share of the longest safe one.",
+)
+@click.option(
+    "--headroom", default=0.2, show_default=True, envvar="BEAMSPAR_HEADROOM",
+    type=click.FloatRange(0.0, 10.0), help="Free room kept, as a share of each class's tasks.",
+)
+@click.version_option(__version__, prog_name="beamspar")  # fmt: skip
+def main(
+    config: str, check: bool, block_size: int, lease_share: float, headroom: float
+) -> None:
+    """Run one beamspar controller."""
+    try:
+        settings = load(config)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    if check:
+        click.echo(f"{config}: settings are in order")
+        return
+    serve(settings, Tuning(block_size, lease_share, headroom=headroom))
--- /dev/null
+++ b/src/beamspar/cloud.py
@@ -0,0 +1,72 @@
+"""Client of the cloud."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from beamspar.http import CallFailed, Net
+from beamspar.wire import BadInput, MachineType, Rental, convert, pack, unpack
+
+
+class CloudDown(Exception):
+    """No usable answer; a request to rent or return may yet be carried out."""
+
+
+class NoCapacity(Exception):
+    """None to be had of this type, zone and kind."""
+
+
+class CloudClient:
+    def __init__(self, net: Net, address: str, limit_s: float) -> None:
+        self.net = net
+        self.address = address
+        self.limit_s = limit_s
+
+    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        raw = pack(body) if body is not None else None
+        try:
+            answer = await self.net.request(method, self.address, path, raw, self.limit_s)
+            data = unpack(answer.body) if answer.body else {}
+        except (CallFailed, msgspec.DecodeError) as error:
+            raise CloudDown(str(error)) from error
+        if answer.status == 503 and isinstance(data, dict) and data.get("error") == "no capacity":
+            raise NoCapacity
+        if answer.status != 200 or not isinstance(data, dict):
+            raise CloudDown(f"{method} {path}: {answer.status}")
+        return answer.status, data
+
+    async def types(self) -> list[MachineType]:
+        _, data = await self._call("GET", "/machine_types")
+        try:
+            found: list[MachineType] = convert(data.get("rig_kinds"), list[MachineType])
+        except BadInput as error:
+            raise CloudDown(f"odd reply: {error}") from error
+        return found
+
+    async def rent(self, name: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = {"hire": name, "rig_kind": kind, "yard": zone, "standby": spot, "how_many": count}
+        _, data = await self._call("POST", "/rentals", body)
+        rigs = data.get("rigs")
+        if not isinstance(rigs, list):
+            raise CloudDown("odd reply to a rental")
+        return [str(r) for r in rigs]
+
+    async def give_back(self, names: list[str]) -> None:
+        await self._call("POST", "/rentals/return", {"rigs": names[:100]})
+
+    async def machines(self) -> list[Rental]:
+        found: list[Rental] = []
+        after = ""
+        while True:
+            path = "/rentals?most=500" + (f"&since={after}" if after else "")
+            _, data = await self._call("GET", path)
+            try:
+                page: list[Rental] = convert(data.get("rigs"), list[Rental])
+            except BadInput as error:
+                raise CloudDown(f"odd reply: {error}") from error
+            found.extend(page)
+            if not data.get("truncated") or not page:
+                return found
+            after = page[-1].machine
--- /dev/null
+++ b/src/beamspar/control/api.py
@@ -0,0 +1,312 @@
+"""The public interface: users' requests, workers' reports and health checks."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.logger import Logger
+
+from beamspar.control import records
+from beamspar.control.messages import Nudge
+from beamspar.control.records import LIVE, WITHDRAWN, EndRecord, JobRecord
+from beamspar.control.session import Machine
+from beamspar.http import Answer, Call, spawn
+from beamspar.placement import fits_type
+from beamspar.state import URGENT, Conflict, NoLease, StateDown, put
+from beamspar.wire import (
+    JOB_ID,
+    BadInput,
+    Spec,
+    job_answer,
+    pack,
+    parse_report,
+    parse_spec,
+    redirect,
+    report_answer,
+    unpack,
+)
+
+if TYPE_CHECKING:
+    from beamspar.control.node import Node
+
+log = Logger(namespace="api")
+
+
+def reply(status: int, data: Any = None, retry_s: int = 0) -> Answer:
+    headers = (("retry-after", str(retry_s)),) if retry_s else ()
+    return Answer(status, pack(data if data is not None else {}), headers)
+
+
+def busy() -> Answer:
+    return reply(503, {"error": "try again"}, 1)
+
+
+class Api:
+    """Answers requests; owns the cache of final states and the shared reads."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.ends: OrderedDict[str, EndRecord] = OrderedDict()
+        self.known: OrderedDict[str, tuple[int, JobRecord]] = OrderedDict()
+        self.checks: dict[str, list[Deferred[bool]]] = {}
+        self.checking = False
+        self.submitting = 0
+        # Small buffers: a share of the memory's worth of submissions in hand.
+        self.most_submitting = max(int(node.settings.facts.limits.memory_mb / 2), 16)
+
+    async def handle(self, call: Call) -> Answer:
+        parts = call.path.strip("/").split("/")
+        if call.path == "/v1/report":
+            return self._report(call) if call.method == "POST" else reply(405)
+        if call.path == "/up":
+            if call.method != "GET":
+                return reply(405)
+            return reply(200 if self.node.healthy() else 503)
+        if parts[0] == "submissions":
+            if len(parts) == 1:
+                return await self._submit(call) if call.method == "POST" else reply(405)
+            if len(parts) == 2:
+                return await self._poll(parts[1]) if call.method == "GET" else reply(405)
+            if len(parts) == 3 and parts[2] == "withdraw":
+                return await self._withdraw(parts[1]) if call.method == "POST" else reply(405)
+        return reply(404, {"error": "no such path"})
+
+    # -- submissions
+
+    async def _submit(self, call: Call) -> Answer:
+        try:
+            data = unpack(call.body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return reply(400, {"error": "body is not MessagePack"})
+        job = data.get("id") if isinstance(data, dict) else None
+        if not isinstance(job, str) or not JOB_ID.match(job):
+            return reply(400, {"error": "id is missing or not of the form j-000000"})
+        try:
+            spec = parse_spec(data)
+            if len(msgspec.json.encode(spec)) > self.node.settings.facts.state.value_kb * 480:
+                raise BadInput("the description is too long to be stored")
+        except BadInput as error:
+            return await self._known_or(job, reply(400, {"error": str(error)}))
+        if job in self.ends or self.node.owner and job in self.node.owner.jobs:
+            return await self._poll(job)
+        if not self.node.types or not self.node.acting():
+            return busy()
+        why = self._impossible(spec)
+        if why:
+            return await self._known_or(job, reply(422, {"error": why}))
+        owner = self.node.owner
+        if owner is None or self.submitting >= self.most_submitting or job in owner.arriving:
+            return busy()
+        self.submitting += 1
+        try:
+            await owner.accept(spec)
+        except Conflict as error:
+            if records.job_key(job) in error.failed or records.end_key(job) in error.failed:
+                return await self._poll(job)
+            return busy()
+        except (StateDown, NoLease) as error:
+            log.info("{job} not accepted: {error}", job=job, error=error)
+            return busy()
+        finally:
+            self.submitting -= 1
+        return reply(201, job_answer(job, "pending"))
+
+    async def _known_or(self, job: str, answer: Answer) -> Answer:
+        """A job that is known is never refused, whatever the repeated body says."""
+        known = await self._poll(job)
+        return answer if known.status == 404 else known
+
+    def _impossible(self, spec: Spec) -> str | None:
+        settings, types = self.node.settings, self.node.types
+        team = next((t for t in settings.facts.teams if t.name == spec.team), None)
+        if team is None:
+            return f"owner {spec.team} is no team"
+        if not any(fits_type(spec, kind) for kind in types.values()):
+            return "a task fits no allowed machine type"
+        count = spec.tasks if spec.is_service else 1
+        if team.cpus_max and spec.cpus * count > team.cpus_max + 1e-6:
+            return "more cpus than the team's limit"
+        if team.gpus_max and spec.gpus * count > team.gpus_max + 1e-6:
+            return "more accelerators than the team's limit"
+        return None
+
+    # -- polls
+
+    async def _poll(self, job: str) -> Answer:
+        if not JOB_ID.match(job):
+            return reply(404, {"error": "no such job"})
+        try:
+            found = await self._state_of(job)
+        except StateDown as error:
+            log.debug("poll of {job}: {error}", job=job, error=error)
+            return busy()
+        return reply(404, {"error": "no such job"}) if found is None else reply(200, found)
+
+    async def _state_of(self, job: str) -> dict[str, Any] | None:
+        """The job's state, no older than the asking; final states never change."""
+        end = self.ends.get(job)
+        if end is not None:
+            return self._final(job, end)
+        owner = self.node.owner
+        mine = owner.jobs.get(job) if owner else None
+        if mine is not None and mine.version and mine.status == LIVE:
+            if await self._check(job, mine.version):
+                return job_answer(
+                    job, "running" if mine.running else "pending", mine.done_count, mine.running
+                )
+        else:
+            known = self.known.get(job)
+            if known and known[1].status == LIVE and await self._check(job, known[0]):
+                return self._current(job, known[1])
+        return await self._read(job)
+
+    def _final(self, job: str, end: EndRecord) -> dict[str, Any]:
+        return job_answer(job, end.status, end.done)
+
+    def _current(self, job: str, record: JobRecord) -> dict[str, Any]:
+        if record.status == WITHDRAWN:
+            return job_answer(job, WITHDRAWN, record.done)
+        status = "running" if record.running else "pending"
+        return job_answer(job, status, record.done, record.running)
+
+    async def _read(self, job: str) -> dict[str, Any] | None:
+        state = self.node.state
+        item = await state.get(records.job_key(job))
+        if item is not None:
+            record = self._decode(item.value, JobRecord)
+            self._remember(self.known, job, (item.version, record))
+            owner = self.node.owner
+            if owner and record.folio in owner.folios and job not in owner.jobs:
+                spawn(owner.adopt(job), f"adopting {job}")
+            return self._current(job, record)
+        self.known.pop(job, None)
+        # A job moves from `job/` to `end/` in one transaction, so this order finds it.
+        item = await state.get(records.end_key(job))
+        if item is None:
+            return None
+        end = self._decode(item.value, EndRecord)
+        self._remember(self.ends, job, end)
+        return self._final(job, end)
+
+    def _decode(self, value: Any, kind: Any) -> Any:
+        try:
+            return msgspec.convert(value, kind)
+        except msgspec.ValidationError as error:
+            raise StateDown(f"odd record: {error}") from error
+
+    def _remember(self, cache: OrderedDict[str, Any], job: str, value: Any) -> None:
+        cache[job] = value
+        cache.move_to_end(job)
+        while len(cache) > 4000:
+            cache.popitem(last=False)
+
+    def _check(self, job: str, version: int) -> Deferred[bool]:
+        """Is this still the stored version? Many are asked in one comparison."""
+        done: Deferred[bool] = Deferred()
+        self.checks.setdefault(f"{records.job_key(job)}\n{version}", []).append(done)
+        if not self.checking:
+            self.checking = True
+            self.node.clock.callLater(self.node.timing.beat / 20, self._run_checks)
+        return done
+
+    def _run_checks(self) -> None:
+        spawn(self._checks(), "checking versions")
+
+    async def _checks(self) -> None:
+        while self.checks:
+            most = self.node.settings.facts.state.txn_ops * 4
+            part = dict(list(self.checks.items())[:most])
+            for name in part:
+                del self.checks[name]
+            conditions: dict[str, int] = {}
+            for name in part:
+                key, _, version = name.partition("\n")
+                conditions[key] = int(version)
+            try:
+                await self.node.state.multi(conditions, [], 1)
+                failed: set[str] | None = set()
+            except Conflict as error:
+                failed = set(error.failed)
+            except (StateDown, NoLease):
+                failed = None
+            for name, waiting in part.items():
+                key = name.partition("\n")[0]
+                fine = failed is not None and key not in failed
+                fine = fine and conditions[key] == int(name.partition("\n")[2])
+                for done in waiting:
+                    done.callback(fine)
+        self.checking = False
+
+    # -- withdrawals
+
+    async def _withdraw(self, job: str) -> Answer:
+        if not JOB_ID.match(job):
+            return reply(404, {"error": "no such job"})
+        state = self.node.state
+        try:
+            for _ in range(6):
+                end = self.ends.get(job)
+                if end is not None:
+                    return reply(200, {"id": job, "status": end.status})
+                item = await state.get(records.job_key(job), URGENT)
+                if item is None:
+                    if await self._read(job) is None:
+                        return reply(404, {"error": "no such job"})
+                    continue
+                record = self._decode(item.value, JobRecord)
+                if record.status == WITHDRAWN:
+                    return reply(200, {"id": job, "status": WITHDRAWN})
+                if await self._store_withdrawal(job, item.version, record):
+                    return reply(200, {"id": job, "status": WITHDRAWN})
+        except (StateDown, NoLease) as error:
+            log.info("withdrawal of {job}: {error}", job=job, error=error)
+        return busy()
+
+    async def _store_withdrawal(self, job: str, version: int, record: JobRecord) -> bool:
+        record.status = WITHDRAWN
+        value = msgspec.to_builtins(record)
+        try:
+            revision = await self.node.state.multi(
+                {records.job_key(job): version},
+                [put(records.job_key(job), value), put(records.mark_key(job), {"t": 1})],
+                URGENT,
+            )
+        except Conflict:
+            return False
+        log.info("{job} withdrawn by its user", job=job)
+        session = self.node.session
+        if session:
+            session.learn(records.mark_key(job), {"t": 1}, revision)
+            folio = session.folios.get(record.folio)
+            if folio and folio.owner != session.me:
+                spawn(self.node.tell(folio.owner, "nudge", Nudge(job)), "nudge")
+        return True
+
+    # -- reports
+
+    def _report(self, call: Call) -> Answer:
+        try:
+            report = parse_report(call.body)
+        except BadInput as error:
+            log.info("malformed report: {error}", error=error)
+            return reply(400, {"error": str(error)})
+        node = self.node
+        session, holder = node.session, node.holder
+        if session is None or holder is None or not session.valid():
+            return reply(503)
+        held = session.holder_of(report.machine)
+        if held is None:
+            machine = Machine(
+                report.machine, report.address, report.kind, report.zone, bool(report.spot)
+            )
+            node.saw(machine)
+            return reply(503)
+        if held[0] != session.me:
+            return reply(421, redirect(held[0] if node.reachable(held[0]) else None))
+        orders = holder.report(report)
+        if orders is None:
+            return reply(503)
+        return reply(200, report_answer(held[1], orders))
--- /dev/null
+++ b/src/beamspar/control/fleet.py
@@ -0,0 +1,199 @@
+"""The fleet: what the leader rents, finds and returns.
+
+Rental names carry the renter's incarnation, which the state service has handed out
+once, so no name is ever used twice, not by another controller either.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from twisted.logger import Logger
+
+from beamspar.cloud import CloudClient, CloudDown, NoCapacity
+from beamspar.control.session import Session
+from beamspar.http import Clock, spawn
+from beamspar.placement import Room, fits_type, slots
+from beamspar.settings import Settings, Timing
+from beamspar.wire import MachineType, Rental, Spec
+
+log = Logger(namespace="fleet")
+
+Place = tuple[str, str, bool]
+
+
+class Booting(msgspec.Struct):
+    kind: str
+    zone: str
+    spot: bool
+    since: float
+
+
+class Fleet:
+    """Owns the leader's picture of the cloud; idle while another leads."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        cloud: CloudClient,
+        session: Session,
+        settings: Settings,
+        timing: Timing,
+        types: dict[str, MachineType],
+    ) -> None:
+        self.clock = clock
+        self.cloud = cloud
+        self.session = session
+        self.timing = timing
+        self.lag = settings.facts.cloud.list_lag_s
+        self.gap = max(2.0 / settings.facts.cloud.rps, timing.beat)
+        self.types = types
+        self.listed: dict[str, Rental] = {}
+        self.booting: dict[str, Booting] = {}
+        self.refused: dict[Place, tuple[float, float]] = {}
+        self.returning: set[str] = set()
+        self.returned: set[str] = set()
+        self.busy = False
+        self.listed_at = -1e9
+        self.count = 0
+
+    # -- what is there
+
+    async def refresh(self) -> None:
+        """Read the cloud's list; it lags, and may be older than the one before."""
+        machines = await self.cloud.machines()
+        now = self.clock.seconds()
+        self.listed_at = now
+        self.listed = {m.machine: m for m in machines}
+        for machine in machines:
+            kind = self.types.get(machine.kind)
+            boot = kind.boot_s if kind else self.lag
+            if machine.machine in self.returned:
+                continue
+            if machine.status == "starting":
+                since = now - machine.age_s
+                self.booting.setdefault(
+                    machine.machine,
+                    Booting(machine.kind, machine.zone, bool(machine.spot), since),
+                )
+                if machine.age_s > boot * 5:
+                    log.warn("{rig} never came up: returned", rig=machine.machine)
+                    self.give_back([machine.machine])
+            elif machine.status == "failed":
+                log.info("{rig} has failed: returned", rig=machine.machine)
+                self.give_back([machine.machine])
+
+    def up(self, name: str) -> None:
+        self.booting.pop(name, None)
+
+    def give_back(self, names: list[str]) -> None:
+        fresh = [n for n in names if n not in self.returning and n not in self.returned]
+        if fresh:
+            self.returning.update(fresh)
+            spawn(self._give_back(fresh), "returning machines")
+
+    async def _give_back(self, names: list[str]) -> None:
+        try:
+            await self.cloud.give_back(names)
+        except (CloudDown, NoCapacity) as error:
+            log.info("returning {names} waits: {error}", names=names, error=error)
+        else:
+            log.info("returned {names}", names=names)
+            self.returned.update(names)
+            for name in names:
+                self.booting.pop(name, None)
+        finally:
+            self.returning.difference_update(names)
+
+    # -- what is missing
+
+    def coming(self) -> list[Room]:
+        """Machines that are rented and not up yet, as if they were empty."""
+        now = self.clock.seconds()
+        rooms = []
+        for name, boot in list(self.booting.items()):
+            kind = self.types.get(boot.kind)
+            if kind is None or now - boot.since > kind.boot_s * 6:
+                del self.booting[name]
+            elif now - boot.since < kind.boot_s * 2.5:
+                rooms.append(
+                    Room(name, boot.kind, boot.zone, boot.spot,
+                         kind.cpus, kind.gpus, kind.memory_gb)  # fmt: skip
+                )
+        return rooms
+
+    def plan(self, needs: list[tuple[Spec, int]], rooms: list[Room]) -> tuple[Place, int] | None:
+        """The next rental: for the first need that free and coming room doesn't cover."""
+        rooms = rooms + self.coming()
+        for spec, count in needs:
+            missing = count - slots(spec, rooms)
+            if missing <= 0:
+                # What this need takes is not there for the next.
+                self._take(spec, count, rooms)
+                continue
+            place = self._where(spec, rooms)
+            if place is None:
+                continue
+            kind = self.types[place[0]]
+            empty = Room("", place[0], place[1], place[2], kind.cpus, kind.gpus, kind.memory_gb)
+            per = max(slots(spec, [empty]), 1)
+            return place, min(-(-missing // per), 4)
+        return None
+
+    def _take(self, spec: Spec, count: int, rooms: list[Room]) -> None:
+        for room in rooms:
+            while count and slots(spec, [room]):
+                room.take(spec)
+                count -= 1
+
+    def _where(self, spec: Spec, rooms: list[Room]) -> Place | None:
+        now = self.clock.seconds()
+        found: list[tuple[Any, ...]] = []
+        for kind in self.types.values():
+            if not fits_type(spec, kind):
+                continue
+            zones = [spec.zone] if spec.zone else kind.zones
+            empty = Room("", kind.name, "", False, kind.cpus, kind.gpus, kind.memory_gb)
+            bare = msgspec.structs.replace(spec, kinds=None, zone=None)
+            per = max(slots(bare, [empty]), 1)
+            for zone in zones:
+                have = sum(1 for r in rooms if r.zone == zone and r.kind == kind.name)
+                for spot in (True, False) if spec.spot else (False,):
+                    until, _ = self.refused.get((kind.name, zone, spot), (0.0, 0.0))
+                    if until > now:
+                        continue
+                    price = (kind.spot_price if spot else kind.price) / per
+                    found.append((price, have, kind.name, zone, spot))
+        if not found:
+            return None
+        best = min(found)
+        return best[2], best[3], best[4]
+
+    async def rent(self, place: Place, count: int) -> None:
+        self.count += 1
+        name = f"{self.session.me}.{self.session.inc}.{self.count}"
+        kind, zone, spot = place
+        try:
+            names = await self._rent(name, kind, zone, spot, count)
+        except NoCapacity:
+            _, pause = self.refused.get(place, (0.0, self.lag / 2))
+            pause = min(pause * 2, self.lag * 8)
+            self.refused[place] = (self.clock.seconds() + pause, pause)
+            log.info("no {kind} in {zone} (spot {spot})", kind=kind, zone=zone, spot=spot)
+            return
+        self.refused.pop(place, None)
+        now = self.clock.seconds()
+        log.info("rented {names} for {place}", names=names, place=place)
+        if len(names) < count:
+            self.refused[place] = (now + self.lag, self.lag)
+        for machine in names:
+            self.booting[machine] = Booting(kind, zone, spot, now)
+
+    async def _rent(self, name: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        """Once more under the same name when the answer was lost: it rents only once."""
+        try:
+            return await self.cloud.rent(name, kind, zone, spot, count)
+        except CloudDown as error:
+            log.info("rental {name} repeated: {error}", name=name, error=error)
+        return await self.cloud.rent(name, kind, zone, spot, count)
--- /dev/null
+++ b/src/beamspar/control/holder.py
@@ -0,0 +1,605 @@
+"""The holder: alone answers the reports of its machines and gives them orders.
+
+It is soft state: what it must know it learns from owners' wants and workers'
+reports. What it says of an attempt is `gone` only on proof, and `gone` is final:
+it will not start that attempt again under that number.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.logger import Logger
+
+from beamspar.control.messages import (
+    CLEAR,
+    ENDED,
+    GONE,
+    KEPT,
+    REFUSED,
+    RUN,
+    STOP,
+    Status,
+    Sync,
+    View,
+    Want,
+)
+from beamspar.control.session import Machine, Session
+from beamspar.http import CallFailed, Clock, spawn
+from beamspar.placement import Room
+from beamspar.settings import Timing
+from beamspar.wire import MachineType, Report, TaskReport, order_clear, order_start, order_stop
+from beamspar.workers import WorkerClient
+
+log = Logger(namespace="holder")
+
+Key = tuple[str, int]
+
+
+class Start:
+    """A start order of ours: in which session, and whether one may still be under way."""
+
+    __slots__ = ("answered", "doubt", "session")
+
+    def __init__(self, session: int) -> None:
+        self.session = session
+        self.answered = False
+        self.doubt = False
+
+
+class Rig:
+    """What the holder knows of one machine under one number."""
+
+    def __init__(self, machine: Machine, number: int, now: float) -> None:
+        self.machine = machine
+        self.number = number
+        self.session = 0
+        self.seq = -1
+        self.report_seq = (0, -1)
+        self.fresh = False
+        self.tasks: dict[Key, TaskReport] = {}
+        self.starts: dict[Key, Start] = {}
+        self.tombs: dict[Key, str] = {}
+        self.wants: dict[Key, Want] = {}
+        self.strangers: dict[Key, float] = {}
+        self.doomed: set[Key] = set()
+        self.evicted: dict[Key, float] = {}
+        self.images: dict[str, float] = {}
+        self.last_answer = now
+        self.last_heard = now
+        self.idle_since = now
+        self.min_session = 0
+        self.notice_s: float | None = None
+        self.lost = False
+        self.retired = False
+        self.ordering = False
+        self.failed_orders = 0
+        self.next_order = now
+        self.errors: dict[str, float] = {}
+        self.sick_until = 0.0
+        self.told: dict[Key, tuple[Any, ...]] = {}
+
+    def live(self, key: Key) -> bool:
+        """Does this attempt take room, now or as soon as it may?"""
+        if key in self.tombs:
+            return False
+        report = self.tasks.get(key)
+        if report is not None:
+            return report.status != "ended"
+        want = self.wants.get(key)
+        return want is not None and want.action != CLEAR
+
+
+class Holder:
+    """Owns the state of the machines in this controller's blocks."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        workers: WorkerClient,
+        timing: Timing,
+        types: Callable[[], dict[str, MachineType]],
+        verdict: Callable[[str, int, str], Any],
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.workers = workers
+        self.timing = timing
+        self.types = types
+        self.verdict = verdict
+        self.rigs: dict[str, Rig] = {}
+        self.streams: dict[str, tuple[int, int, int]] = {}
+        self.stream_wants: dict[str, dict[tuple[str, Key], Want]] = {}
+        self.owners: dict[str, str] = {}
+        self.push: Callable[[str, list[Status]], None] = lambda owner, statuses: None
+        self.on_room: Callable[[], None] = lambda: None
+        self.bad_jobs: dict[str, set[str]] = {}
+        session.listeners.append(self._changed)
+
+    # -- blocks
+
+    def _changed(self, key: str) -> None:
+        if key.startswith("c/block/"):
+            self._adopt(key.removeprefix("c/block/"))
+        elif key.startswith("c/w/"):
+            job = key.removeprefix("c/w/")
+            for rig in self.rigs.values():
+                if any(task.startswith(job + "/") for task, _ in rig.tasks):
+                    self.step(rig)
+
+    def _adopt(self, block_name: str) -> None:
+        block = self.session.blocks.get(block_name)
+        now = self.clock.seconds()
+        names = set()
+        if block and block.holder == self.session.me and block.inc == self.session.inc:
+            for machine in block.machines:
+                names.add(machine.name)
+                known = self.rigs.get(machine.name)
+                if known is None or known.number != block.number:
+                    rig = Rig(machine, block.number, now)
+                    if known is not None:
+                        rig.images = known.images
+                    self.rigs[machine.name] = rig
+                    log.info(
+                        "holding {rig} ({kind}, {zone}) under {number}",
+                        rig=machine.name, kind=machine.kind, zone=machine.zone,
+                        number=block.number,
+                    )  # fmt: skip
+                    self._take_wants(rig)
+                    self.step(rig)
+        for name in [n for n in self.rigs if n not in names]:
+            held = self.session.holder_of(name)
+            if held is None or held != (self.session.me, self.rigs[name].number):
+                log.info("no longer holding {rig}", rig=name)
+                del self.rigs[name]
+
+    def _take_wants(self, rig: Rig) -> None:
+        for wants in self.stream_wants.values():
+            for (name, key), want in wants.items():
+                if name == rig.machine.name and want.number == rig.number:
+                    rig.wants[key] = want
+
+    def held(self, name: str) -> Rig | None:
+        """The machine, if this controller may act for it right now."""
+        rig = self.rigs.get(name)
+        if rig is None or not self.session.valid():
+            return None
+        return rig if self.session.holder_of(name) == (self.session.me, rig.number) else None
+
+    # -- reports
+
+    def report(self, report: Report) -> list[dict[str, Any]] | None:
+        """Take in a worker's own report; the orders to answer with, None for 'not mine'."""
+        rig = self.held(report.machine)
+        if rig is None:
+            return None
+        if (report.session, report.seq) <= rig.report_seq or report.session < rig.min_session:
+            # A late copy: an answer would not reach the worker, and counting it as
+            # answered would put off the proof that a silent worker's lease ran out.
+            log.info("{rig}: late copy of a report", rig=report.machine)
+            return None
+        if report.token > rig.number:
+            log.info("{rig} knows a higher number {n}", rig=report.machine, n=report.token)
+            return None
+        rig.report_seq = (report.session, report.seq)
+        rig.last_answer = self.clock.seconds()
+        self._absorb(rig, report)
+        commands = [c for c in self._commands(rig) if c["verb"] != "start"]
+        self.step(rig)
+        return commands if rig.failed_orders else []
+
+    def _absorb(self, rig: Rig, report: Report) -> None:
+        """Believe a report as far as it is newer, and an absence only when fresh."""
+        if report.session < rig.min_session or report.machine != rig.machine.name:
+            return
+        if (report.session, report.seq) <= (rig.session, rig.seq):
+            return
+        now = self.clock.seconds()
+        if report.session > rig.session:
+            for key, start in list(rig.starts.items()):
+                if start.session < report.session:
+                    # The session's end killed it, and orders of that session are void.
+                    del rig.starts[key]
+                    rig.tombs[key] = GONE
+            if rig.session:
+                log.info("{rig}: session {s}", rig=report.machine, s=report.session)
+        rig.session, rig.seq = report.session, report.seq
+        rig.last_heard = now
+        rig.lost = False
+        rig.notice_s = report.notice_s
+        rig.fresh = rig.fresh or report.token == rig.number
+        old = rig.tasks
+        rig.tasks = {(t.parcel, t.attempt): t for t in report.tasks}
+        for key, task in rig.tasks.items():
+            before = old.get(key)
+            if before is None or before.status != task.status:
+                self._seen(rig, key, task)
+        if rig.tasks and any(t.status != "ended" for t in rig.tasks.values()):
+            rig.idle_since = now
+
+    def _seen(self, rig: Rig, key: Key, task: TaskReport) -> None:
+        want = rig.wants.get(key)
+        job = key[0].partition("/")[0]
+        if task.status in ("running", "saving") and want:
+            self._cache(rig, want.image, want.image_gb)
+        if task.status == "ended" and task.why == "error":
+            now = self.clock.seconds()
+            places = self.bad_jobs.setdefault(job, set())
+            places.add(rig.machine.name)
+            rig.errors[job] = now
+            # One job failing in many places is a bad job; many jobs failing in one
+            # place is a bad machine.
+            recent = [
+                j for j, at in rig.errors.items()
+                if now - at < self.timing.worker_lease * 6 and len(self.bad_jobs.get(j, ())) < 3
+            ]  # fmt: skip
+            if len(recent) >= 2 or (len(recent) == 1 and len(places) == 1):
+                span = self.timing.worker_lease * (6 if len(recent) >= 2 else 1)
+                rig.sick_until = max(rig.sick_until, now + span)
+                log.warn("{rig} fails tasks of {jobs}: set aside", rig=rig.machine.name, jobs=recent)
+        if task.status == "ended":
+            self.on_room()
+
+    def _cache(self, rig: Rig, image: str, size_gb: float) -> None:
+        """The machine keeps the most recently used images within its cache."""
+        rig.images.pop(image, None)
+        rig.images[image] = size_gb
+        kind = self.types().get(rig.machine.kind)
+        limit = kind.cache_gb if kind else size_gb
+        while sum(rig.images.values()) > limit and len(rig.images) > 1:
+            del rig.images[next(iter(rig.images))]
+
+    # -- wants
+
+    def sync(self, message: Sync) -> list[Status]:
+        """An owner's full wish list for one folio; older lists are ignored."""
+        stamp = (message.version, message.inc, message.seq)
+        if stamp <= self.streams.get(message.folio, (0, 0, 0)):
+            return []
+        self.streams[message.folio] = stamp
+        self.owners[message.folio] = message.owner
+        old = self.stream_wants.get(message.folio, {})
+        new = {(w.machine, (w.task, w.attempt)): w for w in message.wants}
+        self.stream_wants[message.folio] = new
+        touched = set()
+        for (name, key), want in old.items():
+            rig = self.rigs.get(name)
+            if rig and (name, key) not in new and rig.wants.get(key) is want:
+                del rig.wants[key]
+                touched.add(name)
+                if key in rig.starts and key not in rig.tombs:
+                    # Nobody wants it any more, yet our start may still be under way.
+                    rig.doomed.add(key)
+        answers = []
+        for (name, key), want in new.items():
+            rig = self.rigs.get(name)
+            if rig is None or rig.number != want.number:
+                continue
+            if old.get((name, key)) != want:
+                touched.add(name)
+            rig.wants[key] = want
+            rig.strangers.pop(key, None)
+            if key in rig.tasks and rig.tasks[key].status != "fetching":
+                self._cache(rig, want.image, want.image_gb)
+        for name in touched:
+            rig = self.held(name)
+            if rig:
+                self.step(rig)
+        for (name, key), want in new.items():
+            rig = self.rigs.get(name)
+            if rig and rig.number == want.number:
+                status = self._status(rig, key, want)
+                if status:
+                    answers.append(status)
+        return answers
+
+    def _status(self, rig: Rig, key: Key, want: Want) -> Status | None:
+        name, number = rig.machine.name, rig.number
+        if key in rig.tombs:
+            return Status(name, number, key[0], key[1], rig.tombs[key])
+        task = rig.tasks.get(key)
+        if task is None:
+            return None
+        if task.status == "ended":
+            if want.action == CLEAR and rig.starts.get(key) and rig.starts[key].doubt:
+                return Status(name, number, key[0], key[1], KEPT)
+            return Status(name, number, key[0], key[1], ENDED, task.why, bool(task.saved))
+        return Status(name, number, key[0], key[1], task.status)
+
+    def _tell(self, rig: Rig) -> None:
+        """Push what changed to the owners; what is lost comes with the next sync."""
+        by_owner: dict[str, list[Status]] = {}
+        for folio, wants in self.stream_wants.items():
+            owner = self.owners.get(folio)
+            for key, want in list(rig.wants.items()):
+                if (rig.machine.name, key) not in wants:
+                    continue
+                status = self._status(rig, key, want)
+                if status is None:
+                    continue
+                mark = (status.state, status.why)
+                if rig.told.get(key) != mark and owner:
+                    rig.told[key] = mark
+                    by_owner.setdefault(owner, []).append(status)
+        for owner, statuses in by_owner.items():
+            self.push(owner, statuses)
+
+    # -- orders
+
+    def _usable(self, rig: Rig) -> bool:
+        return (
+            rig.fresh
+            and not rig.lost
+            and not rig.retired
+            and rig.notice_s is None
+            and rig.sick_until <= self.clock.seconds()
+        )
+
+    def _free(self, rig: Rig, but: Key | None = None) -> tuple[float, float, float]:
+        kind = self.types().get(rig.machine.kind)
+        if kind is None:
+            return 0.0, 0.0, 0.0
+        cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
+        for key, want in rig.wants.items():
+            if key != but and rig.live(key):
+                cpus -= want.cpus
+                gpus -= want.gpus
+                memory -= want.memory_gb
+        return cpus, gpus, memory
+
+    def _fits(self, rig: Rig, key: Key, want: Want) -> bool:
+        cpus, gpus, memory = self._free(rig, key)
+        return want.cpus <= cpus + 1e-6 and want.gpus <= gpus + 1e-6 and (
+            want.memory_gb <= memory + 1e-6
+        )
+
+    def _evict(self, rig: Rig, key: Key, want: Want) -> bool:
+        """Choose lower work to stop for this want; whether that will make room."""
+        cpus, gpus, memory = self._free(rig, key)
+        victims = sorted(
+            (
+                (k, w) for k, w in rig.wants.items()
+                if w.rank > want.rank and rig.live(k) and k != key
+            ),
+            key=lambda item: (-item[1].rank, not item[1].saves, item[1].gpus),
+        )  # fmt: skip
+        chosen = []
+        for k, w in victims:
+            if want.cpus <= cpus + 1e-6 and want.gpus <= gpus + 1e-6 and (
+                want.memory_gb <= memory + 1e-6
+            ):
+                break
+            cpus, gpus, memory = cpus + w.cpus, gpus + w.gpus, memory + w.memory_gb
+            chosen.append((k, w))
+        if want.cpus > cpus + 1e-6 or want.gpus > gpus + 1e-6 or want.memory_gb > memory + 1e-6:
+            return False
+        for k, w in chosen:
+            if k not in rig.evicted:
+                rig.evicted[k] = w.save_s * 1.5 if w.saves else 0.0
+                log.info("{rig}: {k} makes room for {key}", rig=rig.machine.name, k=k[0], key=key[0])
+        return True
+
+    def _commands(self, rig: Rig) -> list[dict[str, Any]]:
+        """Orders that the difference between wants and reports calls for."""
+        commands = []
+        withdrawn = self.session.withdrawn
+        for key, task in rig.tasks.items():
+            if task.status == "ended":
+                continue
+            want = rig.wants.get(key)
+            job = key[0].partition("/")[0]
+            if job in withdrawn:
+                grace: float | None = 0.0
+            elif key in rig.doomed:
+                grace = 0.0
+            elif want is not None and want.action == STOP:
+                grace = want.save_s * 1.5 if want.saves else 0.0
+            elif key in rig.evicted:
+                grace = rig.evicted[key]
+            elif want is not None and (rig.notice_s is not None or rig.retired):
+                # The machine is about to go: save what can be saved, go on elsewhere.
+                grace = want.save_s * 1.5 if want.saves else 0.0
+            else:
+                grace = None
+            if grace is not None and not (task.status == "saving" and grace > 0):
+                commands.append(order_stop(key[0], key[1], grace))
+        for key, task in rig.tasks.items():
+            want = rig.wants.get(key)
+            doubt = key in rig.starts and rig.starts[key].doubt
+            if task.status == "ended" and not doubt:
+                # After a clear the worker has forgotten the attempt, so a start
+                # still under way would run it once more: never clear in doubt.
+                if (want and want.action == CLEAR) or key in rig.doomed:
+                    commands.append(order_clear(key[0], key[1]))
+        return commands
+
+    def _starts(self, rig: Rig) -> list[dict[str, Any]]:
+        commands = []
+        for key, want in sorted(rig.wants.items(), key=lambda item: item[1].rank):
+            if key in rig.tasks or key in rig.tombs or not rig.fresh:
+                continue
+            start = rig.starts.get(key)
+            if start is not None and start.answered and not start.doubt:
+                # It was there, and a newer report does not list it.
+                self._bury(rig, key, GONE)
+            elif want.action == RUN and key[0].partition("/")[0] not in self.session.withdrawn:
+                if start is not None:
+                    commands.append(order_start(*key))
+                elif not self._usable(rig):
+                    self._bury(rig, key, REFUSED)
+                elif self._fits(rig, key, want):
+                    commands.append(order_start(*key))
+                elif not (want.evict and self._evict(rig, key, want)):
+                    self._bury(rig, key, REFUSED)
+            elif start is None:
+                # A fresh report does not list it, older numbers are fenced out and
+                # this one never sent it.
+                self._bury(rig, key, GONE)
+            elif not start.answered or start.doubt:
+                # Settle the doubt: the same start again, then its end.
+                commands.append(order_start(*key))
+                commands.append(order_stop(key[0], key[1], 0.0))
+        for key in list(rig.doomed):
+            if key in rig.tombs or key in rig.tasks or not rig.fresh:
+                continue
+            start = rig.starts.get(key)
+            if start is None or (start.answered and not start.doubt):
+                rig.doomed.discard(key)
+            else:
+                commands.append(order_start(*key))
+                commands.append(order_stop(key[0], key[1], 0.0))
+        return commands
+
+    def _bury(self, rig: Rig, key: Key, state: str) -> None:
+        rig.tombs[key] = state
+        rig.starts.pop(key, None)
+        rig.doomed.discard(key)
+        log.info("{rig}: {key} {state}", rig=rig.machine.name, key=key, state=state)
+
+    def step(self, rig: Rig) -> None:
+        """Compare wants with what is known, send what is missing, tell what changed."""
+        if self.held(rig.machine.name) is not rig:
+            return
+        now = self.clock.seconds()
+        starts = self._starts(rig)
+        commands = self._commands(rig) + starts
+        self._tell(rig)
+        if rig.ordering or now < rig.next_order:
+            return
+        if not rig.fresh or commands:
+            rig.ordering = True
+            spawn(self._send(rig, commands if rig.fresh else []), "orders")
+
+    async def _send(self, rig: Rig, commands: list[dict[str, Any]]) -> None:
+        session = rig.session
+        sent = []
+        for command in commands:
+            if command["verb"] == "start":
+                key = (command["parcel"], command["try"])
+                start = rig.starts.setdefault(key, Start(session))
+                start.session = session
+                sent.append((key, start))
+                log.info(
+                    "start {task} try {attempt} on {rig} under {number}",
+                    task=key[0], attempt=key[1], rig=rig.machine.name, number=rig.number,
+                )  # fmt: skip
+        try:
+            done, report = await self.workers.order(
+                rig.machine.address, rig.number, session, commands
+            )
+        except CallFailed as error:
+            for _, start in sent:
+                start.doubt = True
+            rig.failed_orders += 1
+            rig.next_order = self.clock.seconds() + self.timing.retry
+            log.info("orders to {rig} failed: {error}", rig=rig.machine.name, error=error)
+            rig.ordering = False
+            return
+        rig.ordering = False
+        rig.failed_orders = 0
+        for key, start in sent:
+            if done:
+                start.answered = True
+            elif start.session == report.session and rig.starts.get(key) is start:
+                # Refused for the number: a higher one is out, so it can't run.
+                start.doubt = True
+        before = rig.session
+        if not done:
+            rig.next_order = self.clock.seconds() + (
+                0.0 if before != report.session else self.timing.retry
+            )
+        self._absorb(rig, report)
+        if self.rigs.get(rig.machine.name) is rig:
+            self.step(rig)
+
+    # -- time
+
+    def tick(self) -> None:
+        """Leases that ran out, strangers, and whatever waits for another try."""
+        now = self.clock.seconds()
+        if not self.session.valid():
+            return
+        for rig in list(self.rigs.values()):
+            if not rig.lost and now > rig.last_answer + self.timing.worker_gone:
+                self._lose(rig)
+            elif rig.fresh:
+                self._check_strangers(rig, now)
+            self.step(rig)
+
+    def _lose(self, rig: Rig) -> None:
+        """Nobody answered the worker for longer than its lease: all on it is gone."""
+        log.warn("{rig} is silent beyond its lease", rig=rig.machine.name)
+        rig.lost = True
+        rig.fresh = False
+        rig.min_session = rig.session + 1 if rig.session else 0
+        for key in set(rig.wants) | set(rig.starts) | set(rig.tasks):
+            if key not in rig.tombs:
+                self._bury(rig, key, GONE)
+        rig.tasks.clear()
+        self._tell(rig)
+
+    def returned(self, name: str) -> None:
+        """The cloud has confirmed that the machine and all on it are gone."""
+        rig = self.rigs.get(name)
+        if rig is not None and not rig.lost:
+            rig.min_session = 1 << 62
+            self._lose(rig)
+
+    def _check_strangers(self, rig: Rig, now: float) -> None:
+        for key in list(rig.strangers):
+            if key not in rig.tasks or key in rig.wants:
+                del rig.strangers[key]
+        for key in rig.tasks:
+            if key in rig.wants or key in rig.doomed:
+                continue
+            since = rig.strangers.setdefault(key, now)
+            if now - since > self.timing.sync * 3:
+                rig.strangers[key] = now
+                spawn(self._judge(rig, key), "stranger")
+
+    async def _judge(self, rig: Rig, key: Key) -> None:
+        """A task that no owner speaks for: the stored record decides."""
+        bound = await self.verdict(key[0], key[1], rig.machine.name)
+        if bound is False and key in rig.tasks and key not in rig.wants:
+            log.info("{rig}: {key} belongs to nobody", rig=rig.machine.name, key=key)
+            rig.doomed.add(key)
+            self.step(rig)
+
+    # -- summaries
+
+    def views(self) -> list[View]:
+        now = self.clock.seconds()
+        views = []
+        for rig in self.rigs.values():
+            cpus, gpus, memory = self._free(rig)
+            evictable = []
+            for rank in range(4):
+                lower = [
+                    w for k, w in rig.wants.items()
+                    if w.rank > rank and rig.live(k) and k not in rig.evicted
+                ]  # fmt: skip
+                evictable.append(
+                    (
+                        sum(w.cpus for w in lower),
+                        sum(w.gpus for w in lower),
+                        sum(w.memory_gb for w in lower),
+                    )
+                )
+            machine = rig.machine
+            room = Room(
+                machine.name, machine.kind, machine.zone, machine.spot, cpus, gpus, memory,
+                set(rig.images), evictable, self._usable(rig),
+                sum(1 for k in rig.wants if rig.live(k)),
+            )  # fmt: skip
+            views.append(
+                View(
+                    room, rig.number, rig.fresh, rig.lost, rig.sick_until > now,
+                    rig.notice_s is not None, now - rig.last_heard, now - rig.idle_since,
+                )  # fmt: skip
+            )
+        return views
+
+    def rooms(self) -> list[Room]:
+        return [v.room for v in self.views()] if self.session.valid() else []
--- /dev/null
+++ b/src/beamspar/control/leader.py
@@ -0,0 +1,403 @@
+"""The leader: leases blocks, lends room across them, rents, and replaces the dead.
+
+Any controller may lead; the grant behind `c/leader` says who does. What it knows
+of machines comes from the holders' summaries, and it lends only after hearing them.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.logger import Logger
+
+from beamspar.cloud import CloudDown, NoCapacity
+from beamspar.control.fleet import Fleet
+from beamspar.control.messages import Ask, Directions, Offers, Placed, Summary, View
+from beamspar.control.session import LEADER, Machine, Session
+from beamspar.http import Clock, spawn
+from beamspar.placement import Room, choose, choose_eviction
+from beamspar.settings import Settings, Timing, Tuning
+from beamspar.state import CHORE, URGENT, Conflict, NoLease, StateClient, StateDown, drop, put
+from beamspar.wire import Spec
+
+log = Logger(namespace="leader")
+
+
+class Leader:
+    """Owns the picture of the whole fleet while this controller leads."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        state: StateClient,
+        fleet: Fleet,
+        settings: Settings,
+        timing: Timing,
+        tuning: Tuning,
+        dice: random.Random,
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.state = state
+        self.fleet = fleet
+        self.settings = settings
+        self.timing = timing
+        self.tuning = tuning
+        self.dice = dice
+        self.sites = {s.member: s.site for s in settings.siblings}
+        self.sites[settings.member] = settings.site
+        self.summaries: dict[str, tuple[Summary, float]] = {}
+        self.loans: dict[tuple[str, str], tuple[Spec, float]] = {}
+        self.seen: dict[str, tuple[Machine, float]] = {}
+        self.wishes: dict[str, tuple[Spec, int, float]] = {}
+        self.leading_since: float | None = None
+        self.electing = False
+        self.leasing = False
+        self.renting = False
+        self.listing = False
+        self.changed: Callable[[], None] = lambda: None
+
+    # -- election
+
+    @property
+    def leading(self) -> bool:
+        return self.leading_since is not None and self.session.leader == self.session.me
+
+    @property
+    def ready(self) -> bool:
+        """Rebuilt: every live member was heard, or has had the time to speak."""
+        if not self.leading or self.leading_since is None or not self.session.valid():
+            return False
+        if self.clock.seconds() - self.leading_since > self.timing.report:
+            return True
+        heard = {m for m, (_, at) in self.summaries.items() if at >= self.leading_since}
+        return len(self.session.members) >= self.settings.facts.nodes and (
+            self.session.members <= heard
+        )
+
+    async def _elect(self) -> None:
+        try:
+            value = {"name": self.session.me, "inc": self.session.inc}
+            revision = await self.state.multi(
+                {LEADER: 0, **self.session.fence()},
+                [put(LEADER, value, self.session.permit)],
+                URGENT,
+            )
+        except (Conflict, StateDown, NoLease) as error:
+            log.info("not elected: {error}", error=error)
+        else:
+            self.session.learn(LEADER, value, revision)
+            log.info("{me} leads", me=self.session.me)
+        finally:
+            self.electing = False
+
+    def tick(self) -> None:
+        if not self.session.valid():
+            return
+        now = self.clock.seconds()
+        value, _ = self.session.values.get(LEADER, (None, 0))
+        if value is None:
+            self.leading_since = None
+            if not self.electing:
+                self.electing = True
+                spawn(self._elect(), "election")
+            return
+        if value.get("name") != self.session.me or value.get("inc") != self.session.inc:
+            self.leading_since = None
+            return
+        if self.leading_since is None:
+            self.leading_since = now
+        if not self.ready:
+            return
+        if not self.leasing:
+            self.leasing = True
+            spawn(self._lease(), "leasing blocks")
+        if not self.listing and now - self.fleet.listed_at > max(
+            self.timing.report, self.fleet.gap * 2
+        ):
+            self.listing = True
+            spawn(self._list(), "listing machines")
+        if not self.renting and self.fleet.types:
+            self.renting = True
+            spawn(self._rent(), "renting")
+        self._watch_machines(now)
+
+    # -- blocks
+
+    def _terms(self) -> dict[str, int]:
+        """Conditions under which a leader's write counts."""
+        return {**self.session.fence(), LEADER: self.session.values.get(LEADER, (0, 0))[1]}
+
+    async def _lease(self) -> None:
+        try:
+            await self._bury_dead()
+            await self._lease_new()
+            await self._drop_returned()
+        except Conflict as error:
+            log.info("leasing again: {failed}", failed=error.failed)
+        except (StateDown, NoLease) as error:
+            log.info("leasing waits: {error}", error=error)
+        finally:
+            self.leasing = False
+
+    def _pick_holder(self, zone: str, counts: dict[str, int]) -> str:
+        """Prefer a controller in the machine's zone: a cut leaves them together."""
+        return min(counts, key=lambda m: (self.sites.get(m) != zone, counts[m], m))
+
+    def _counts(self) -> dict[str, int]:
+        counts = dict.fromkeys(self.session.members, 0)
+        for block in self.session.blocks.values():
+            if block.holder in counts:
+                counts[block.holder] += len(block.machines)
+        return counts
+
+    def _inc(self, member: str) -> int:
+        value = self.session.values.get(f"c/member/{member}", ({}, 0))[0]
+        return int(value.get("inc", 0))
+
+    async def _bury_dead(self) -> None:
+        """A member whose grant ended is fenced out first; then its work goes on elsewhere."""
+        owners = {f.owner for f in self.session.folios.values()}
+        holders = {b.holder for b in self.session.blocks.values()}
+        for dead in sorted((owners | holders) - self.session.members):
+            fence_key = f"c/fence/{dead}"
+            old, version = self.session.values.get(fence_key, ({}, 0))
+            value = {"inc": int(old.get("inc", 0)) + 1}
+            terms = {**self._terms(), f"c/member/{dead}": 0}
+            revision = await self.state.multi(
+                {**terms, fence_key: version}, [put(fence_key, value)], URGENT
+            )
+            self.session.learn(fence_key, value, revision)
+            log.warn("{dead} is dead: its jobs and blocks move", dead=dead)
+            changes: list[tuple[str, Any]] = []
+            counts = self._counts()
+            if not counts:
+                return
+            heirs = sorted(counts)
+            for index, (name, folio) in enumerate(sorted(self.session.folios.items())):
+                if folio.owner == dead:
+                    heir = heirs[index % len(heirs)]
+                    changes.append((f"c/folio/{name}", {"owner": heir}))
+            for name, block in self.session.blocks.items():
+                if block.holder == dead:
+                    zone = block.machines[0].zone if block.machines else ""
+                    heir = self._pick_holder(zone, counts)
+                    counts[heir] += len(block.machines)
+                    value = {
+                        "holder": heir, "inc": self._inc(heir),
+                        "machines": msgspec.to_builtins(block.machines),
+                    }  # fmt: skip
+                    changes.append((f"c/block/{name}", value))
+            await self._write(changes, terms)
+
+    async def _write(self, changes: list[tuple[str, Any]], terms: dict[str, int]) -> None:
+        most = self.settings.facts.state.txn_ops
+        while changes:
+            part, changes = changes[:most], changes[most:]
+            conditions = dict(terms)
+            for key, _ in part:
+                conditions[key] = self.session.values.get(key, (None, 0))[1]
+            puts = [drop(k) if v is None else put(k, v) for k, v in part]
+            revision = await self.state.multi(conditions, puts, URGENT)
+            for key, value in part:
+                if value is not None:
+                    self.session.learn(key, value, revision)
+
+    def saw(self, machine: Machine) -> None:
+        """A worker without a holder reported somewhere."""
+        if machine.name not in self.fleet.returned:
+            self.seen[machine.name] = (machine, self.clock.seconds())
+            if self.ready and not self.leasing:
+                self.leasing = True
+                spawn(self._lease(), "leasing blocks")
+
+    async def _lease_new(self) -> None:
+        new = [
+            m for m, _ in self.seen.values()
+            if m.name not in self.session.block_of and m.name not in self.fleet.returned
+        ]  # fmt: skip
+        self.seen.clear()
+        if not new:
+            return
+        counts = self._counts()
+        size = max(self.tuning.block_size, 1)
+        groups: dict[tuple[str, str, bool], list[Machine]] = {}
+        for machine in sorted(new, key=lambda m: m.name):
+            self.fleet.up(machine.name)
+            groups.setdefault((machine.zone, machine.kind, machine.spot), []).append(machine)
+        changes: list[tuple[str, Any]] = []
+        for (zone, kind, _), machines in groups.items():
+            for low in range(0, len(machines), size):
+                part = machines[low : low + size]
+                holder = self._pick_holder(zone, counts)
+                counts[holder] += len(part)
+                value = {
+                    "holder": holder, "inc": self._inc(holder),
+                    "machines": msgspec.to_builtins(part),
+                }  # fmt: skip
+                changes.append((f"c/block/{part[0].name}", value))
+                log.info("leasing {names} ({kind}, {zone}) to {holder}",
+                         names=[m.name for m in part], kind=kind, zone=zone, holder=holder)  # fmt: skip
+        await self._write(changes, self._terms())
+
+    async def _drop_returned(self) -> None:
+        """The cloud has confirmed these are gone: without a block their tasks are too."""
+        changes: list[tuple[str, Any]] = []
+        for name, block in self.session.blocks.items():
+            left = [m for m in block.machines if m.name not in self.fleet.returned]
+            if len(left) == len(block.machines):
+                continue
+            if left:
+                value = {
+                    "holder": block.holder, "inc": block.inc,
+                    "machines": msgspec.to_builtins(left),
+                }  # fmt: skip
+                changes.append((f"c/block/{name}", value))
+            else:
+                changes.append((f"c/block/{name}", None))
+        if changes:
+            await self._write(changes, self._terms())
+
+    # -- summaries and loans
+
+    def beat(self, summary: Summary) -> Directions:
+        self.summaries[summary.member] = (summary, self.clock.seconds())
+        for raw in summary.seen:
+            try:
+                self.saw(msgspec.convert(raw, Machine))
+            except msgspec.ValidationError as error:
+                log.info("odd machine in a summary: {error}", error=error)
+        return Directions(self.leading, self.ready)
+
+    def views(self) -> list[View]:
+        """Machines as their present holders tell, and only those heard of late."""
+        now = self.clock.seconds()
+        found = []
+        for member, (summary, at) in self.summaries.items():
+            if now - at > self.timing.report:
+                continue
+            for view in summary.views:
+                if self.session.holder_of(view.room.name) == (member, view.number):
+                    found.append(view)
+        return found
+
+    def rooms(self) -> list[Room]:
+        now = self.clock.seconds()
+        for key in [k for k, (_, until) in self.loans.items() if until < now]:
+            del self.loans[key]
+        rooms = []
+        for view in self.views():
+            room = msgspec.structs.replace(view.room)
+            for (_, machine), (spec, _) in self.loans.items():
+                if machine == room.name:
+                    room.take(spec)
+            rooms.append(room)
+        return rooms
+
+    def asks(self, member: str, asks: list[Ask]) -> Offers:
+        """Lend room: warm machines anywhere first, then the asker's, then any."""
+        offers: list[Placed] = []
+        if not self.ready:
+            return Offers(offers)
+        now = self.clock.seconds()
+        rooms = self.rooms()
+        near = {
+            r.name for r in rooms
+            if (self.session.holder_of(r.name) or ("", 0))[0] == member
+        }  # fmt: skip
+        serial = 0
+        for ask in asks:
+            spec = msgspec.convert(ask.spec, Spec)
+            zones, machines = dict(ask.zones), dict(ask.machines)
+            left = min(ask.count, 200)
+            while left:
+                room = choose(spec, rooms, zones, machines, ask.avoid, near)
+                evict = False
+                if room is None and spec.rank < 3:
+                    room = choose_eviction(spec, rooms, zones, ask.avoid)
+                    evict = room is not None
+                if room is None:
+                    break
+                room.take(spec)
+                if evict:
+                    # Its lower work is spoken for now.
+                    room.evictable = []
+                serial += 1
+                self.loans[(f"{spec.id}#{serial}@{now}", room.name)] = (
+                    spec, now + self.timing.beat * 2,
+                )  # fmt: skip
+                zones[room.zone] = zones.get(room.zone, 0) + 1
+                machines[room.name] = machines.get(room.name, 0) + 1
+                offers.append(Placed(spec.id, room.name, evict))
+                left -= 1
+            self.wishes[spec.id] = (spec, left, now)
+        return Offers(offers)
+
+    # -- the cloud
+
+    async def _list(self) -> None:
+        try:
+            await self.fleet.refresh()
+        except (CloudDown, NoCapacity) as error:
+            self.fleet.listed_at = self.clock.seconds()
+            log.info("listing waits: {error}", error=error)
+        finally:
+            self.listing = False
+
+    def _needs(self) -> list[tuple[Spec, int]]:
+        """Waiting work first, then headroom for each class as it runs now."""
+        now = self.clock.seconds()
+        needs = []
+        for job, (spec, count, at) in list(self.wishes.items()):
+            if now - at > self.timing.report or not count:
+                del self.wishes[job]
+            else:
+                needs.append((spec, count))
+        needs.sort(key=lambda item: item[0].rank)
+        lanes: dict[str, tuple[Spec, int]] = {}
+        for summary, at in self.summaries.values():
+            if now - at > self.timing.report:
+                continue
+            for lane, (raw, running) in summary.lanes.items():
+                spec = msgspec.convert(raw, Spec)
+                known = lanes.get(lane, (spec, 0))
+                lanes[lane] = (spec, known[1] + int(running))
+        for spec, running in sorted(lanes.values(), key=lambda item: item[0].rank):
+            target = max(int(running * self.tuning.headroom + 0.999), spec.tasks, 2)
+            needs.append((spec, target))
+        return needs
+
+    async def _rent(self) -> None:
+        try:
+            plan = self.fleet.plan(self._needs(), [r for r in self.rooms() if r.usable])
+            if plan is not None:
+                await self.fleet.rent(*plan)
+        except (CloudDown, NoCapacity) as error:
+            log.info("renting waits: {error}", error=error)
+        finally:
+            self.clock.callLater(self.fleet.gap, self._may_rent)
+
+    def _may_rent(self) -> None:
+        self.renting = False
+
+    def _watch_machines(self, now: float) -> None:
+        """Return machines that are certainly of no use any more."""
+        silent: dict[str, list[View]] = {}
+        total: dict[str, int] = {}
+        for view in self.views():
+            total[view.room.zone] = total.get(view.room.zone, 0) + 1
+            if view.silent_s > self.timing.silent:
+                silent.setdefault(view.room.zone, []).append(view)
+        for zone, views in silent.items():
+            # Many silent at once are behind a cut, and will be back; a single one
+            # is dead, and returning it proves it sooner than its lease does.
+            if len(views) * 3 <= total[zone] or len(views) == 1:
+                self.fleet.give_back([v.room.name for v in views])
+            else:
+                late = [v.room.name for v in views if v.silent_s > self.timing.worker_lease * 4]
+                if late:
+                    self.fleet.give_back(late)
--- /dev/null
+++ b/src/beamspar/control/messages.py
@@ -0,0 +1,133 @@
+"""What actors say to each other; the same messages whether local or remote."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import orjson
+
+from beamspar.placement import Room
+
+RUN, STOP, CLEAR = "run", "stop", "clear"
+# States of an attempt as a holder tells them. `gone` and `refused` are final:
+# the holder will never start that attempt under that number.
+GONE, REFUSED, ENDED, KEPT = "gone", "refused", "ended", "kept"
+
+
+class Want(msgspec.Struct, array_like=True):
+    """What an owner wants of one attempt on one machine under one number."""
+
+    machine: str
+    number: int
+    task: str
+    attempt: int
+    action: str
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+    image: str = ""
+    image_gb: float = 0.0
+    rank: int = 0
+    saves: bool = False
+    save_s: float = 0.0
+    evict: bool = False
+
+
+class Sync(msgspec.Struct):
+    """All that the owner of a folio wants of one holder; replaces what it said before."""
+
+    owner: str
+    folio: str
+    version: int
+    inc: int
+    seq: int
+    wants: list[Want]
+
+
+class Status(msgspec.Struct, array_like=True):
+    machine: str
+    number: int
+    task: str
+    attempt: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+
+
+class Statuses(msgspec.Struct):
+    statuses: list[Status]
+
+
+class Ask(msgspec.Struct):
+    """A waiting job's wish for room, with where its other tasks may be."""
+
+    spec: dict[str, Any]
+    count: int
+    zones: dict[str, int]
+    machines: dict[str, int]
+    avoid: list[str]
+    waited_s: float = 0.0
+
+
+class Asks(msgspec.Struct):
+    member: str
+    asks: list[Ask]
+
+
+class Placed(msgspec.Struct, array_like=True):
+    job: str
+    machine: str
+    evict: bool = False
+
+
+class Offers(msgspec.Struct):
+    offers: list[Placed]
+
+
+class View(msgspec.Struct):
+    """One machine in a holder's summary."""
+
+    room: Room
+    number: int
+    fresh: bool
+    lost: bool
+    sick: bool
+    leaving: bool
+    silent_s: float
+    idle_s: float
+
+
+class Summary(msgspec.Struct):
+    """A member's heartbeat to the leader."""
+
+    member: str
+    inc: int
+    views: list[View]
+    state_ok: bool = True
+    seen: list[dict[str, Any]] = []
+    lanes: dict[str, list[Any]] = {}
+
+
+class Directions(msgspec.Struct):
+    """The leader's answer to a heartbeat: level-triggered, repeated until done."""
+
+    leading: bool
+    ready: bool = False
+    gone: list[str] = []
+    retire: list[str] = []
+    give: dict[str, str] = {}
+
+
+class Nudge(msgspec.Struct):
+    """A job was withdrawn: its owner should look now."""
+
+    job: str
+
+
+def encode(message: Any) -> bytes:
+    return orjson.dumps(msgspec.to_builtins(message, builtin_types=()))
+
+
+def decode(body: bytes, kind: Any) -> Any:
+    return msgspec.convert(orjson.loads(body), kind)
--- /dev/null
+++ b/src/beamspar/control/node.py
@@ -0,0 +1,366 @@
+"""One controller: wires the actors together and carries messages between members."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import orjson
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.logger import Logger
+
+from beamspar.cloud import CloudClient, CloudDown, NoCapacity
+from beamspar.control import records
+from beamspar.control.api import Api
+from beamspar.control.budget import Budget
+from beamspar.control.fleet import Fleet
+from beamspar.control.holder import Holder
+from beamspar.control.leader import Leader
+from beamspar.control.messages import (
+    Ask,
+    Asks,
+    Directions,
+    Nudge,
+    Offers,
+    Placed,
+    Status,
+    Statuses,
+    Summary,
+    Sync,
+    decode,
+    encode,
+)
+from beamspar.control.owner import Owner
+from beamspar.control.session import Machine, Session
+from beamspar.http import Answer, Call, CallFailed, Clock, Net, sleep, spawn
+from beamspar.settings import Settings, Timing, Tuning
+from beamspar.state import URGENT, Conflict, NoLease, StateClient, StateDown, put
+from beamspar.wire import MachineType, convert
+from beamspar.workers import WorkerClient
+
+log = Logger(namespace="node")
+
+TYPES = "c/types"
+
+
+class Node:
+    """A controller. Its parts are made anew when its standing is lost."""
+
+    def __init__(
+        self, clock: Clock, net: Net, settings: Settings, tuning: Tuning, dice: random.Random
+    ) -> None:
+        self.clock = clock
+        self.net = net
+        self.settings = settings
+        self.tuning = tuning
+        self.dice = dice
+        self.timing = Timing(settings, tuning)
+        self.state = StateClient(clock, net, settings, self.timing)
+        self.cloud = CloudClient(net, settings.services.cloud, self.timing.call)
+        self.types: dict[str, MachineType] = {}
+        self.session: Session | None = None
+        self.holder: Holder | None = None
+        self.owner: Owner | None = None
+        self.leader: Leader | None = None
+        self.budget: Budget | None = None
+        self.peers = {s.member: s.peer_addr for s in settings.siblings}
+        self.heard: dict[str, float] = {}
+        self.failed: dict[str, float] = {}
+        self.seen: dict[str, Machine] = {}
+        self.ready = False
+        self.api = Api(self)
+
+    # -- life
+
+    async def start(self) -> None:
+        """Listen first, so that workers and siblings are answered; then register."""
+        sockets = self.settings.facts.limits.sockets
+        await self.net.listen(self.settings.public_addr, self.api.handle, sockets * 6 // 10)
+        await self.net.listen(self.settings.peer_bind, self.peer, sockets // 10)
+        log.info("{me} listens", me=self.settings.member)
+        spawn(self._fetch_types(), "machine types")
+        spawn(self._stand(), "standing")
+        self._tick()
+
+    async def _stand(self) -> None:
+        """Become a new incarnation and take back what was ours."""
+        self.ready = False
+        session = Session(self.clock, self.state, self.settings, self.timing)
+        session.on_lost = lambda why: self.clock.callLater(0, self._again, session)
+        workers = WorkerClient(self.net, self.timing.order)
+        holder = Holder(
+            self.clock, session, workers, self.timing, lambda: self.types, self._verdict
+        )
+        owner = Owner(self.clock, session, self.state, self.settings, self.timing)
+        budget = Budget(session, self.state, self.settings)
+        fleet = Fleet(self.clock, self.cloud, session, self.settings, self.timing, self.types)
+        leader = Leader(
+            self.clock, session, self.state, fleet, self.settings, self.timing, self.tuning,
+            self.dice,
+        )  # fmt: skip
+        owner.budget = budget
+        owner.rooms, owner.ask, owner.send = holder.rooms, self._ask, self._send_syncs
+        holder.push = self._push
+        holder.on_room = owner.pump
+        self.session, self.holder, self.owner = session, holder, owner
+        self.leader, self.budget = leader, budget
+        session.listeners.append(self._learn_types)
+        await session.start()
+        await owner.load()
+        self.ready = True
+        await self._reclaim(session)
+
+    def _again(self, session: Session) -> None:
+        if session is self.session:
+            self.session = self.holder = self.owner = self.leader = self.budget = None
+            spawn(self._stand(), "standing")
+
+    async def _reclaim(self, session: Session) -> None:
+        """Our former self is dead, for we are it: its blocks get new numbers at once."""
+        while not session.lost:
+            old = {
+                name: block
+                for name, block in session.blocks.items()
+                if block.holder == session.me and block.inc != session.inc
+            }
+            if not old:
+                return
+            part = dict(list(old.items())[: self.settings.facts.state.txn_ops])
+            conditions = session.fence()
+            changes = []
+            for name, block in part.items():
+                key = f"c/block/{name}"
+                conditions[key] = block.number
+                value = {
+                    "holder": session.me, "inc": session.inc,
+                    "machines": msgspec.to_builtins(block.machines),
+                }  # fmt: skip
+                changes.append(put(key, value))
+            try:
+                revision = await self.state.multi(conditions, changes, URGENT)
+            except (Conflict, StateDown, NoLease) as error:
+                log.info("reclaiming again: {error}", error=error)
+                await sleep(self.clock, self.timing.beat)
+                continue
+            log.info("reclaimed {names}", names=sorted(part))
+            for change in changes:
+                session.learn(change["put"], change["data"], revision)
+
+    async def _fetch_types(self) -> None:
+        """Machine types from the cloud; the stored copy serves while it is down."""
+        while True:
+            try:
+                types = await self.cloud.types()
+                self.types.update({t.name: t for t in types})
+                await self._store_types()
+                return
+            except (CloudDown, NoCapacity) as error:
+                log.info("machine types wait: {error}", error=error)
+            await sleep(self.clock, self.timing.report)
+
+    async def _store_types(self) -> None:
+        while self.session is None or not self.session.started:
+            await sleep(self.clock, self.timing.report)
+        if TYPES not in self.session.values:
+            value = [msgspec.to_builtins(t) for t in self.types.values()]
+            try:
+                await self.state.multi({TYPES: 0}, [put(TYPES, value)])
+            except (Conflict, StateDown, NoLease) as error:
+                log.info("machine types not stored: {error}", error=error)
+
+    def _learn_types(self, key: str) -> None:
+        if key == TYPES and self.session and not self.types:
+            value = self.session.values.get(TYPES, ([], 0))[0]
+            types: list[MachineType] = convert(value, list[MachineType])
+            self.types.update({t.name: t for t in types})
+
+    async def _verdict(self, task: str, attempt: int, machine: str) -> bool | None:
+        """Does the stored record bind this attempt here? None: can't tell now."""
+        per = records.chunk_size(self.settings.facts.state.value_kb)
+        try:
+            return await records.is_bound(self.state, per, task, attempt, machine)
+        except (StateDown, msgspec.ValidationError) as error:
+            log.info("no verdict on {task}: {error}", task=task, error=error)
+            return None
+
+    # -- standing
+
+    def acting(self) -> bool:
+        return self.ready and self.session is not None and self.session.valid()
+
+    def healthy(self) -> bool:
+        """Can requests be taken here? In an outage that all share, staying is better."""
+        if not self.ready or not self.types:
+            return False
+        since = self.state.failing_since
+        if since is None or self.clock.seconds() - since < self.timing.report:
+            return True
+        return not any(self._state_ok(member) for member in self.peers)
+
+    def _state_ok(self, member: str) -> bool:
+        at = self.heard.get(member, -1e9)
+        return self.clock.seconds() - at < self.timing.report
+
+    def reachable(self, member: str) -> bool:
+        return self.failed.get(member, -1.0) <= self.heard.get(member, 0.0)
+
+    def saw(self, machine: Machine) -> None:
+        """A worker that no block names: the leader should lease it."""
+        leader = self.leader
+        if leader is not None and leader.leading:
+            leader.saw(machine)
+        elif len(self.seen) < 500:
+            self.seen[machine.name] = machine
+
+    def _tick(self) -> None:
+        self.clock.callLater(self.timing.beat * (0.9 + 0.2 * self.dice.random()), self._tick)
+        try:
+            session = self.session
+            if session is None or not session.started or session.lost:
+                return
+            assert self.holder and self.owner and self.leader and self.budget
+            self.holder.tick()
+            self.owner.tick()
+            self.budget.tick()
+            self.leader.tick()
+            self._beat()
+        except Exception:
+            log.failure("tick failed")
+
+    # -- messages to members
+
+    def _send(self, member: str, path: str, message: Any, limit_s: float) -> Deferred[bytes]:
+        return ensureDeferred(self._deliver(member, path, message, limit_s))
+
+    async def _deliver(self, member: str, path: str, message: Any, limit_s: float) -> bytes:
+        address = self.peers.get(member)
+        if address is None:
+            raise CallFailed(f"no member {member}")
+        now = self.clock.seconds()
+        try:
+            answer: Answer = await self.net.request(
+                "POST", address, f"/peer/{path}", encode(message), limit_s
+            )
+        except CallFailed:
+            self.failed[member] = self.clock.seconds()
+            raise
+        self.heard[member] = max(self.heard.get(member, 0.0), now)
+        if answer.status != 200:
+            raise CallFailed(f"{member} answered {answer.status}")
+        return answer.body
+
+    async def tell(self, member: str, path: str, message: Any) -> None:
+        """One-way; what is lost comes again with the next full exchange."""
+        try:
+            await self._send(member, path, message, self.timing.call)
+        except CallFailed as error:
+            log.debug("{error}", error=error)
+
+    def _push(self, owner: str, statuses: list[Status]) -> None:
+        if owner == self.settings.member:
+            self.clock.callLater(0, self._statuses, statuses)
+        else:
+            spawn(self.tell(owner, "statuses", Statuses(statuses)), "statuses")
+
+    def _statuses(self, statuses: list[Status]) -> None:
+        if self.owner:
+            self.owner.statuses(statuses)
+
+    def _send_syncs(self, holder: str, messages: list[Sync]) -> Deferred[list[Status] | None]:
+        return ensureDeferred(self._syncs(holder, messages))
+
+    async def _syncs(self, holder: str, messages: list[Sync]) -> list[Status] | None:
+        if holder == self.settings.member:
+            return [s for m in messages for s in (self.holder.sync(m) if self.holder else [])]
+        try:
+            body = await self._send(holder, "sync", messages, self.timing.call)
+            answer: Statuses = decode(body, Statuses)
+        except (CallFailed, ValueError) as error:
+            log.debug("sync to {holder}: {error}", holder=holder, error=error)
+            return None
+        return answer.statuses
+
+    def _ask(self, asks: list[Ask]) -> Deferred[list[Placed] | None]:
+        return ensureDeferred(self._asks(asks))
+
+    async def _asks(self, asks: list[Ask]) -> list[Placed] | None:
+        """The leader's offers; None when it can't be asked, and soon, for users wait."""
+        session = self.session
+        name = session.leader if session else None
+        if name is None:
+            return None
+        if name == self.settings.member:
+            return self.leader.asks(name, asks).offers if self.leader else None
+        if not self.reachable(name) and (
+            self.clock.seconds() - self.failed[name] < self.timing.beat
+        ):
+            return None
+        try:
+            body = await self._send(
+                name, "asks", Asks(self.settings.member, asks), self.timing.beat
+            )
+            offers: Offers = decode(body, Offers)
+        except (CallFailed, ValueError) as error:
+            log.info("leader {name} not asked: {error}", name=name, error=error)
+            return None
+        return offers.offers
+
+    def _beat(self) -> None:
+        session = self.session
+        assert session and self.holder and self.owner and self.leader
+        leader = session.leader
+        if leader is None or not session.valid():
+            return
+        lanes: dict[str, list[Any]] = {}
+        for job in self.owner.jobs.values():
+            if job.status == records.LIVE:
+                entry = lanes.setdefault(job.spec.lane, [None, 0])
+                entry[0] = entry[0] or msgspec.to_builtins(job.spec)
+                entry[1] += job.bound
+        summary = Summary(
+            session.me, session.inc, self.holder.views(), True,
+            [msgspec.to_builtins(m) for m in self.seen.values()], lanes,
+        )  # fmt: skip
+        self.seen.clear()
+        if leader == session.me:
+            self.leader.beat(summary)
+        else:
+            spawn(self.tell(leader, "beat", summary), "heartbeat")
+
+    # -- messages from members
+
+    async def peer(self, call: Call) -> Answer:
+        """A sibling's message. Whatever is odd is refused, and logged."""
+        try:
+            return Answer(200, self._dispatch(call.path.removeprefix("/peer/"), call.body))
+        except (msgspec.ValidationError, orjson.JSONDecodeError, KeyError) as error:
+            log.info("odd message {path}: {error}", path=call.path, error=error)
+            return Answer(400)
+
+    def _dispatch(self, name: str, body: bytes) -> bytes:
+        if self.session is None or not self.session.started or self.session.lost:
+            if name == "sync":
+                return encode(Statuses([]))
+            if name == "asks":
+                return encode(Offers([]))
+            return b"{}"
+        assert self.holder and self.owner and self.leader
+        if name == "sync":
+            messages: list[Sync] = decode(body, list[Sync])
+            return encode(Statuses([s for m in messages for s in self.holder.sync(m)]))
+        if name == "statuses":
+            statuses: Statuses = decode(body, Statuses)
+            self.owner.statuses(statuses.statuses)
+            return b"{}"
+        if name == "asks":
+            asks: Asks = decode(body, Asks)
+            return encode(self.leader.asks(asks.member, asks.asks))
+        if name == "beat":
+            directions: Directions = self.leader.beat(decode(body, Summary))
+            return encode(directions)
+        if name == "nudge":
+            nudge: Nudge = decode(body, Nudge)
+            spawn(self.owner.withdraw(nudge.job), "withdrawal")
+            return b"{}"
+        raise KeyError(name)
--- /dev/null
+++ b/src/beamspar/control/owner.py
@@ -0,0 +1,797 @@
+"""The owner: decides the attempts of the jobs that this controller accepted.
+
+A task is bound to one machine by a stored record before a start leaves, and is
+bound anew only after the old attempt is proven over.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.logger import Logger
+
+from beamspar.control import records
+from beamspar.control.messages import (
+    CLEAR,
+    ENDED,
+    GONE,
+    KEPT,
+    REFUSED,
+    RUN,
+    STOP,
+    Ask,
+    Placed,
+    Status,
+    Sync,
+    Want,
+)
+from beamspar.control.records import DONE, LIVE, WITHDRAWN, Chunk, EndRecord, JobRecord
+from beamspar.control.session import Session
+from beamspar.http import Clock, sleep, spawn
+from beamspar.placement import Room, choose
+from beamspar.settings import Settings, Timing
+from beamspar.state import (
+    CHORE,
+    PLACE,
+    Conflict,
+    InDoubt,
+    NoLease,
+    StateClient,
+    StateDown,
+    drop,
+    put,
+)
+from beamspar.state import DONE as DONE_PRIORITY
+from beamspar.wire import Spec
+
+log = Logger(namespace="owner")
+
+
+class Task:
+    """One task that is bound or has been; untouched tasks have none of these."""
+
+    __slots__ = ("attempt", "avoid", "evict", "failures", "machine", "number", "state",
+                 "stored", "not_before")  # fmt: skip
+
+    def __init__(self, attempt: int = 0) -> None:
+        self.attempt = attempt
+        self.machine: str | None = None
+        self.state = ""
+        self.stored = False
+        self.number = 0
+        self.evict = False
+        self.failures = 0
+        self.avoid: set[str] = set()
+        self.not_before = 0.0
+
+
+class Job:
+    """A job of ours in memory; its record's version fences every write of it."""
+
+    def __init__(self, spec: Spec, folio: str, per: int, now: float) -> None:
+        self.spec = spec
+        self.folio = folio
+        self.per = per
+        self.version = 0
+        self.chunk_versions: dict[int, int] = {}
+        self.status = LIVE
+        self.tasks: dict[int, Task] = {}
+        self.untouched = 0
+        self.again: deque[int] = deque()
+        self.done: dict[int, set[int]] = {}
+        self.done_count = 0
+        self.dirty: set[int] = set()
+        self.writing = False
+        self.since = now
+        self.retry_at = 0.0
+        self.stamp = ""
+
+    @property
+    def id(self) -> str:
+        return self.spec.id
+
+    @property
+    def bound(self) -> int:
+        return sum(1 for t in self.tasks.values() if t.machine is not None)
+
+    @property
+    def running(self) -> int:
+        return sum(1 for t in self.tasks.values() if t.machine is not None and t.state == "running")
+
+    def is_done(self, index: int) -> bool:
+        return index in self.done.get(index // self.per, ())
+
+    def waiting(self, now: float, most: int) -> list[int]:
+        """Indexes that may be placed now, those that ran before first."""
+        if self.status != LIVE:
+            return []
+        found = []
+        for index in self.again:
+            if self.tasks[index].not_before <= now:
+                found.append(index)
+                if len(found) >= most:
+                    return found
+        rest = range(self.untouched, min(self.spec.tasks, self.untouched + most - len(found)))
+        return found + list(rest)
+
+    def take(self, index: int) -> Task:
+        """Mark a waiting task as about to be bound."""
+        if index >= self.untouched:
+            self.untouched = index + 1
+            self.tasks[index] = Task()
+        else:
+            self.again.remove(index)
+        return self.tasks[index]
+
+    def places(self, zone_of: Callable[[str], str]) -> tuple[dict[str, int], dict[str, int]]:
+        """Where the job's tasks are or may be: zones and machines with counts."""
+        zones: dict[str, int] = {}
+        machines: dict[str, int] = {}
+        for task in self.tasks.values():
+            if task.machine is not None:
+                machines[task.machine] = machines.get(task.machine, 0) + 1
+                zone = zone_of(task.machine)
+                zones[zone] = zones.get(zone, 0) + 1
+        return zones, machines
+
+    def chunk(self, number: int) -> Chunk:
+        low, high = number * self.per, min((number + 1) * self.per, self.spec.tasks)
+        chunk = Chunk(done=records.ranges(sorted(self.done.get(number, ()))))
+        for index in range(low, min(high, self.untouched)):
+            task = self.tasks.get(index)
+            if task is None:
+                continue
+            if task.machine is not None:
+                chunk.bound.append((index, task.attempt, task.machine))
+            elif task.attempt:
+                chunk.again.append((index, task.attempt))
+        return chunk
+
+    def record(self) -> dict[str, Any]:
+        record = JobRecord(
+            msgspec.to_builtins(self.spec), self.folio, self.status, self.done_count,
+            self.bound, self.chunk(0), self.stamp,
+        )  # fmt: skip
+        data: dict[str, Any] = msgspec.to_builtins(record)
+        return data
+
+
+class Owner:
+    """Owns the jobs of this controller's folios."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        state: StateClient,
+        settings: Settings,
+        timing: Timing,
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.state = state
+        self.settings = settings
+        self.timing = timing
+        self.per = records.chunk_size(settings.facts.state.value_kb)
+        self.jobs: dict[str, Job] = {}
+        self.arriving: dict[str, Job] = {}
+        self.clears: dict[tuple[str, str, int], tuple[str, int, float]] = {}
+        self.folios: set[str] = set()
+        self.zones: dict[str, str] = {}
+        self.seq = 0
+        self.pumping = False
+        self.again = False
+        self.syncing: set[str] = set()
+        self.sync_due: set[str] = set()
+        self.spoke: dict[str, float] = {}
+        self.rooms: Callable[[], list[Room]] = lambda: []
+        self.ask: Callable[[list[Ask]], Deferred[list[Placed] | None]] | None = None
+        self.send: Callable[[str, list[Sync]], Deferred[list[Status] | None]] | None = None
+        self.budget: Any = None
+        self.writes = 0
+        session.listeners.append(self._changed)
+
+    # -- jobs come and go
+
+    def _changed(self, key: str) -> None:
+        kind, _, name = key.removeprefix("c/").partition("/")
+        if kind == "folio":
+            record = self.session.folios.get(name)
+            if record and record.owner == self.session.me:
+                if name not in self.folios:
+                    self.folios.add(name)
+                    if name != self.session.folio and self.session.started:
+                        log.info("taking over folio {folio}", folio=name)
+                        spawn(self.load(), "taking over")
+            elif name in self.folios:
+                self.folios.discard(name)
+                for job in [j for j in self.jobs.values() if j.folio == name]:
+                    del self.jobs[job.id]
+        elif kind == "block":
+            block = self.session.blocks.get(name)
+            for machine in block.machines if block else ():
+                self.zones[machine.name] = machine.zone
+            if block:
+                self.sync_due.add(block.holder)
+        elif kind == "w":
+            if name in self.jobs and self.jobs[name].status == LIVE:
+                spawn(self._reread(self.jobs[name]), "withdrawal")
+
+    async def load(self) -> None:
+        """Read the jobs of our folios that we don't have in memory yet."""
+        while not self.session.lost:
+            try:
+                items, _ = await self.state.scan("job/", PLACE)
+                for item in items:
+                    record = records.read_job(item)
+                    job_id = item.key.removeprefix("job/")
+                    if record.folio not in self.folios or job_id in self.jobs:
+                        continue
+                    job = await self._restore(record, item.version)
+                    if job_id not in self.jobs:
+                        self.jobs[job_id] = job
+                log.info("{n} jobs of {folios}", n=len(self.jobs), folios=sorted(self.folios))
+                self._due_all()
+                self.pump()
+                return
+            except StateDown as error:
+                log.info("reading jobs waits: {error}", error=error)
+                await sleep(self.clock, self.timing.retry)
+
+    async def _restore(self, record: JobRecord, version: int) -> Job:
+        job = Job(records.read_spec(record), record.folio, self.per, self.clock.seconds())
+        job.version, job.status, job.stamp = version, record.status, record.stamp
+        chunks = {0: record.chunk}
+        if job.spec.tasks > self.per:
+            items, _ = await self.state.scan(f"task/{job.id}/", PLACE)
+            for item in items:
+                number = int(item.key.rpartition("/")[2])
+                chunks[number] = msgspec.convert(item.value, Chunk)
+                job.chunk_versions[number] = item.version
+        for number, chunk in sorted(chunks.items()):
+            for low, high in chunk.done:
+                job.done.setdefault(number, set()).update(range(low, high + 1))
+                job.untouched = max(job.untouched, high + 1)
+            for index, attempt, machine in chunk.bound:
+                task = job.tasks[index] = Task(attempt)
+                task.machine, task.stored = machine, True
+                job.untouched = max(job.untouched, index + 1)
+            for index, attempt in chunk.again:
+                job.tasks[index] = Task(attempt)
+                job.again.append(index)
+                job.untouched = max(job.untouched, index + 1)
+        job.done_count = sum(len(d) for d in job.done.values())
+        # Below the mark all that is neither bound, done nor waiting again was never
+        # started: it waits with attempt 0.
+        for index in range(job.untouched):
+            if index not in job.tasks and not job.is_done(index):
+                job.tasks[index] = Task()
+                job.again.append(index)
+        if self.budget:
+            self.budget.restore(job)
+        return job
+
+    async def accept(self, spec: Spec) -> bool:
+        """Store a new job, with its first places if there is room; False: it is known."""
+        job = Job(spec, self.session.folio, self.per, self.clock.seconds())
+        self.arriving[spec.id] = job
+        try:
+            return await self._accept(job)
+        finally:
+            del self.arriving[spec.id]
+
+    async def _accept(self, job: Job) -> bool:
+        spec = job.spec
+        await self._place([job])
+        job.stamp = self._stamp()
+        conditions = {
+            **self.session.fence(),
+            records.job_key(spec.id): 0,
+            records.end_key(spec.id): 0,
+        }
+        try:
+            version = await self.state.multi(
+                conditions, [put(records.job_key(spec.id), job.record())], 1
+            )
+        except (Conflict, StateDown, NoLease) as error:
+            self._release(job)
+            if isinstance(error, InDoubt):
+                spawn(self._settle(spec.id), "accept in doubt")
+            raise
+        job.version = version
+        job.dirty.discard(0)
+        for index, task in job.tasks.items():
+            if index < self.per and task.machine:
+                task.stored = True
+        self.jobs[spec.id] = job
+        log.info(
+            "accepted {job} ({lane}): {n} tasks, {placed} placed",
+            job=spec.id, lane=spec.lane, n=spec.tasks, placed=job.bound,
+        )  # fmt: skip
+        self._due(job)
+        self._flush(job)
+        if job.waiting(self.clock.seconds(), 1):
+            self.pump()
+        return True
+
+    async def _settle(self, job_id: str) -> None:
+        """An accept without an answer may have been applied, or may be yet."""
+        for _ in range(8):
+            await sleep(self.clock, self.timing.report)
+            if self.session.lost or job_id in self.jobs:
+                return
+            await self.adopt(job_id)
+
+    async def adopt(self, job_id: str) -> None:
+        """Take a stored job of our folios into memory that is not there."""
+        try:
+            item = await self.state.get(records.job_key(job_id), PLACE)
+            if item is None or job_id in self.jobs or job_id in self.arriving:
+                return
+            record = records.read_job(item)
+            if record.folio in self.folios:
+                job = await self._restore(record, item.version)
+                if self.jobs.setdefault(job_id, job) is job:
+                    log.info("adopted {job}", job=job_id)
+                    self._due(job)
+                    self._flush(job)
+                    self.pump()
+        except StateDown as error:
+            log.info("adopting {job} waits: {error}", job=job_id, error=error)
+
+    def _release(self, job: Job) -> None:
+        if self.budget:
+            for task in job.tasks.values():
+                if task.machine:
+                    self.budget.free(job)
+
+    def _stamp(self) -> str:
+        self.writes += 1
+        return f"{self.session.me}.{self.session.inc}.{self.writes}"
+
+    async def withdraw(self, job_id: str) -> None:
+        """A withdrawal of a job of ours that somebody has stored."""
+        job = self.jobs.get(job_id)
+        if job is not None and job.status == LIVE:
+            await self._reread(job)
+
+    async def _reread(self, job: Job) -> None:
+        """The stored record moved under us: learn what it says now."""
+        try:
+            item = await self.state.get(records.job_key(job.id), PLACE)
+        except StateDown:
+            return
+        if item is None:
+            log.info("{job} is over", job=job.id)
+            self.jobs.pop(job.id, None)
+            return
+        record = records.read_job(item)
+        if record.folio not in self.folios:
+            self.jobs.pop(job.id, None)
+            return
+        if item.version >= job.version:
+            job.version = item.version
+        if record.status == WITHDRAWN and job.status == LIVE:
+            log.info("{job} is withdrawn", job=job.id)
+            job.status = WITHDRAWN
+            self._drop_unstored(job)
+            job.again.clear()
+            self._due(job)
+            self._flush(job)
+
+    def _drop_unstored(self, job: Job) -> None:
+        for task in job.tasks.values():
+            if task.machine is not None and not task.stored:
+                task.machine = None
+                if self.budget:
+                    self.budget.free(job)
+
+    # -- writing
+
+    def _flush(self, job: Job) -> None:
+        if not job.writing and job.id in self.jobs:
+            over = self._over(job)
+            if job.dirty or over:
+                job.writing = True
+                spawn(self._write(job), f"writing {job.id}")
+
+    def _over(self, job: Job) -> bool:
+        if job.status == WITHDRAWN:
+            return not job.bound
+        return job.done_count >= job.spec.tasks
+
+    async def _write(self, job: Job) -> None:
+        """One write at a time, each with all that has changed since the last."""
+        try:
+            while job.id in self.jobs and not self.session.lost:
+                if self._over(job):
+                    if await self._finish(job):
+                        return
+                elif job.dirty:
+                    await self._store(job)
+                else:
+                    return
+        finally:
+            job.writing = False
+
+    async def _store(self, job: Job) -> None:
+        most = self.settings.facts.state.txn_ops - 1
+        numbers = sorted(job.dirty)[:most]
+        job.dirty.difference_update(numbers)
+        job.stamp = self._stamp()
+        marks: list[tuple[int, int, str | None]] = []
+        key = records.job_key(job.id)
+        changes = [put(key, job.record())]
+        conditions = {
+            **self.session.fence(),
+            **self.session.folio_fence(job.folio),
+            key: job.version,
+        }
+        for number in {0, *numbers}:
+            for index in range(number * self.per, min((number + 1) * self.per, job.untouched)):
+                if index in job.tasks:
+                    marks.append((index, job.tasks[index].attempt, job.tasks[index].machine))
+            if number:
+                name = records.chunk_key(job.id, number)
+                conditions[name] = job.chunk_versions.get(number, 0)
+                changes.append(put(name, msgspec.to_builtins(job.chunk(number))))
+        finished = [index for n in numbers for index in job.done.get(n, ())]
+        try:
+            version = await self.state.multi(conditions, changes, PLACE)
+        except Conflict as error:
+            job.dirty.update(numbers)
+            log.info("{job}: write lost to {failed}", job=job.id, failed=error.failed)
+            await self._reread_all(job)
+            return
+        except (StateDown, NoLease) as error:
+            # In doubt it may be applied yet, even late; the record's version tells
+            # the two apart at the next write, so nothing is decided here.
+            job.dirty.update(numbers)
+            log.info("{job}: write waits: {error}", job=job.id, error=error)
+            await sleep(self.clock, self.timing.retry)
+            if isinstance(error, InDoubt):
+                await self._reread_all(job)
+            return
+        job.version = version
+        for number in numbers:
+            if number:
+                job.chunk_versions[number] = version
+        for index, attempt, machine in marks:
+            task = job.tasks.get(index)
+            if task and task.attempt == attempt and task.machine == machine and machine:
+                task.stored = True
+        for index in finished:
+            job.tasks.pop(index, None)
+        self._due(job)
+
+    async def _reread_all(self, job: Job) -> None:
+        await self._reread(job)
+        if job.spec.tasks > self.per and job.id in self.jobs:
+            try:
+                items, _ = await self.state.scan(f"task/{job.id}/", PLACE)
+            except StateDown:
+                return
+            for item in items:
+                job.chunk_versions[int(item.key.rpartition("/")[2])] = item.version
+
+    async def _finish(self, job: Job) -> bool:
+        """Move the job to its final record; True when it is over for us."""
+        status = WITHDRAWN if job.status == WITHDRAWN else DONE
+        key, end = records.job_key(job.id), records.end_key(job.id)
+        changes = [drop(key), put(end, msgspec.to_builtins(EndRecord(status, job.done_count)))]
+        if status == WITHDRAWN:
+            changes.append(drop(records.mark_key(job.id)))
+        conditions = {
+            **self.session.fence(),
+            **self.session.folio_fence(job.folio),
+            key: job.version,
+            end: 0,
+        }
+        try:
+            await self.state.multi(conditions, changes, DONE_PRIORITY)
+        except Conflict:
+            await self._reread(job)
+            return job.id not in self.jobs
+        except (StateDown, NoLease) as error:
+            log.info("{job}: end waits: {error}", job=job.id, error=error)
+            await sleep(self.clock, self.timing.retry)
+            if isinstance(error, InDoubt):
+                await self._reread(job)
+            return job.id not in self.jobs
+        log.info("{job} is {status}", job=job.id, status=status)
+        self.jobs.pop(job.id, None)
+        if job.chunk_versions:
+            spawn(self._drop_chunks(job), "dropping chunks")
+        self._due_all()
+        return True
+
+    async def _drop_chunks(self, job: Job) -> None:
+        left = sorted(job.chunk_versions)
+        most = self.settings.facts.state.txn_ops
+        while left:
+            part, left = left[:most], left[most:]
+            try:
+                await self.state.multi(
+                    {}, [drop(records.chunk_key(job.id, n)) for n in part], CHORE
+                )
+            except StateDown:
+                left = part + left
+                await sleep(self.clock, self.timing.retry)
+
+    # -- placing
+
+    def pump(self) -> None:
+        """Place what waits; one round at a time."""
+        if self.pumping:
+            self.again = True
+            return
+        self.pumping = True
+        spawn(self._pump(), "placing")
+
+    async def _pump(self) -> None:
+        try:
+            now = self.clock.seconds()
+            jobs = [j for j in self.jobs.values() if j.retry_at <= now and j.waiting(now, 1)]
+            if jobs and self.session.valid():
+                jobs.sort(key=lambda j: (j.spec.rank, j.since))
+                await self._place(jobs[:64])
+                for job in jobs:
+                    self._flush(job)
+        finally:
+            self.pumping = False
+            if self.again:
+                self.again = False
+                self.clock.callLater(self.timing.beat / 10, self.pump)
+
+    def _zone_of(self, machine: str) -> str:
+        return self.zones.get(machine, "")
+
+    async def _place(self, jobs: list[Job]) -> None:
+        """Warm machines of ours, then by the leader's word, then cold ones of ours."""
+        if not self.session.valid():
+            return
+        now = self.clock.seconds()
+        rooms = self.rooms()
+        near = {room.name for room in rooms}
+        self._reserve(rooms)
+        asks = []
+        asked: list[Job] = []
+        for job in jobs:
+            self._fill(job, rooms, near, now, warm_only=True)
+            left = len(job.waiting(now, 200))
+            if left and (self.budget is None or self.budget.covers(job)):
+                zones, machines = job.places(self._zone_of)
+                asks.append(
+                    Ask(
+                        msgspec.to_builtins(job.spec), left, zones, machines,
+                        sorted(self._avoid(job)), now - job.since,
+                    )  # fmt: skip
+                )
+                asked.append(job)
+        if not asks:
+            return
+        offers = await self.ask(asks) if self.ask else None
+        if not self.session.valid():
+            return
+        by_id = {job.id: job for job in asked}
+        for offer in offers or ():
+            offered = by_id.get(offer.job)
+            indexes = offered.waiting(now, 1) if offered else []
+            if offered and indexes:
+                self._bind(offered, indexes[0], offer.machine, offer.evict)
+        rooms = self.rooms()
+        self._reserve(rooms)
+        for job in asked:
+            self._fill(job, rooms, near, now, warm_only=False)
+
+    def _avoid(self, job: Job) -> set[str]:
+        found: set[str] = set()
+        for index in job.again:
+            found |= job.tasks[index].avoid
+        return found
+
+    def _reserve(self, rooms: list[Room]) -> None:
+        """Take off what we bound and the holder has not been told of yet."""
+        by_name = {room.name: room for room in rooms}
+        for job in [*self.jobs.values(), *self.arriving.values()]:
+            for task in job.tasks.values():
+                if task.machine in by_name and not task.number:
+                    by_name[task.machine].take(job.spec)
+
+    def _fill(
+        self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
+    ) -> None:
+        for index in job.waiting(now, 200):
+            zones, machines = job.places(self._zone_of)
+            room = choose(
+                job.spec, rooms, zones, machines, self._avoid(job), near, warm_only=warm_only
+            )
+            if room is None or not self._bind(job, index, room.name, False):
+                return
+            room.take(job.spec)
+
+    def _bind(self, job: Job, index: int, machine: str, evict: bool) -> bool:
+        """Bind a waiting task; the start waits until this is stored."""
+        if self.budget is not None and not self.budget.take(job):
+            return False
+        task = job.take(index)
+        task.attempt += 1
+        task.machine, task.stored, task.state = machine, False, ""
+        task.number, task.evict = 0, evict
+        job.dirty.add(index // job.per)
+        log.info(
+            "{job}/{index} try {attempt} to {rig}",
+            job=job.id, index=index, attempt=task.attempt, rig=machine,
+        )  # fmt: skip
+        return True
+
+    def _unbind(self, job: Job, index: int, task: Task) -> None:
+        task.machine, task.stored, task.state = None, False, ""
+        task.number = 0
+        job.dirty.add(index // job.per)
+        if self.budget is not None:
+            self.budget.free(job)
+
+    # -- what holders say
+
+    def statuses(self, statuses: list[Status]) -> None:
+        touched: dict[str, Job] = {}
+        for status in statuses:
+            job = self._status(status)
+            if job is not None:
+                touched[job.id] = job
+        for job in touched.values():
+            self._flush(job)
+        if touched:
+            self.pump()
+
+    def _status(self, status: Status) -> Job | None:
+        clear = (status.machine, status.task, status.attempt)
+        if clear in self.clears and status.state in (GONE, KEPT, REFUSED):
+            del self.clears[clear]
+            return None
+        job_id, _, index_text = status.task.partition("/")
+        job = self.jobs.get(job_id)
+        task = job.tasks.get(int(index_text)) if job else None
+        if job is None or task is None or task.attempt != status.attempt:
+            return None
+        # An older number's word does not bind a holder that we asked since.
+        if task.machine != status.machine or status.number < task.number:
+            return None
+        index = int(index_text)
+        if status.state in (GONE, REFUSED, ENDED):
+            return self._over_attempt(job, index, task, status)
+        if task.state != status.state:
+            task.state = status.state
+        return None
+
+    def _over_attempt(self, job: Job, index: int, task: Task, status: Status) -> Job:
+        now = self.clock.seconds()
+        log.info(
+            "{task} try {attempt} on {rig}: {state} {why}",
+            task=status.task, attempt=status.attempt, rig=status.machine,
+            state=status.state, why=status.why or "",
+        )  # fmt: skip
+        number = status.number
+        self._unbind(job, index, task)
+        if status.state == ENDED:
+            self.clears[(status.machine, status.task, status.attempt)] = (job.folio, number, now)
+        if status.state == ENDED and status.why == "done" and not job.spec.is_service:
+            job.done.setdefault(index // job.per, set()).add(index)
+            job.done_count += 1
+            return job
+        if job.status == LIVE:
+            if status.why in ("error", "no_room", "unknown", "in_use"):
+                task.failures += 1
+                if status.why == "error":
+                    task.avoid.add(status.machine)
+                    if len(task.avoid) > 4:
+                        task.avoid.clear()
+                wait = min(2 ** min(task.failures, 6), 30) * self.timing.retry
+                task.not_before = now + (wait if task.failures > 2 else self.timing.retry)
+            elif status.state == REFUSED:
+                task.not_before = now + self.timing.beat / 2
+            job.again.append(index)
+        return job
+
+    # -- telling holders
+
+    def _due(self, job: Job) -> None:
+        for task in job.tasks.values():
+            held = self.session.holder_of(task.machine) if task.machine else None
+            if held:
+                self.sync_due.add(held[0])
+        self.clock.callLater(0, self.sync)
+
+    def _due_all(self) -> None:
+        self.sync_due |= {block.holder for block in self.session.blocks.values()}
+        self.clock.callLater(0, self.sync)
+
+    def sync(self) -> None:
+        """Say all our wants to the holders that are due."""
+        if not self.session.valid() or self.send is None:
+            return
+        for holder in list(self.sync_due):
+            if holder not in self.syncing:
+                self.sync_due.discard(holder)
+                self.syncing.add(holder)
+                spawn(self._sync(holder), f"telling {holder}")
+
+    async def _sync(self, holder: str) -> None:
+        try:
+            messages = self._wants(holder)
+            self.spoke[holder] = self.clock.seconds()
+            assert self.send is not None
+            answers = await self.send(holder, messages)
+            if answers:
+                self.statuses(answers)
+        finally:
+            self.syncing.discard(holder)
+
+    def _wants(self, holder: str) -> list[Sync]:
+        wants: dict[str, list[Want]] = {folio: [] for folio in self.folios}
+        for job in self.jobs.values():
+            spec = job.spec
+            for index, task in job.tasks.items():
+                if task.machine is None or not task.stored:
+                    continue
+                held = self.session.holder_of(task.machine)
+                if held is None or held[0] != holder:
+                    continue
+                task.number = held[1]
+                wants.setdefault(job.folio, []).append(
+                    Want(
+                        task.machine, held[1], f"{job.id}/{index}", task.attempt,
+                        RUN if job.status == LIVE else STOP,
+                        spec.cpus, spec.gpus, spec.memory_gb, spec.image, spec.image_gb,
+                        spec.rank, spec.checkpoint_s > 0, spec.save_s, task.evict,
+                    )  # fmt: skip
+                )
+        for (machine, name, attempt), (folio, _, since) in list(self.clears.items()):
+            held = self.session.holder_of(machine)
+            if held is None or self.clock.seconds() - since > self.timing.worker_lease * 3:
+                del self.clears[(machine, name, attempt)]
+                continue
+            if held[0] == holder and folio in wants and self._clearable(name):
+                wants[folio].append(Want(machine, held[1], name, attempt, CLEAR))
+        self.seq += 1
+        messages = []
+        for folio, listed in wants.items():
+            record = self.session.folios.get(folio)
+            if record:
+                messages.append(
+                    Sync(self.session.me, folio, record.version, self.session.inc, self.seq, listed)
+                )
+        return messages
+
+    def _clearable(self, name: str) -> bool:
+        """Only what is stored may be cleared from a machine's memory."""
+        job_id, _, index = name.partition("/")
+        job = self.jobs.get(job_id)
+        return job is None or (not job.writing and int(index) // job.per not in job.dirty)
+
+    def tick(self) -> None:
+        now = self.clock.seconds()
+        for block in self.session.blocks.values():
+            if now - self.spoke.get(block.holder, -1e9) >= self.timing.sync:
+                self.sync_due.add(block.holder)
+        self.sync()
+        self._release_vanished()
+        self.pump()
+
+    def _release_vanished(self) -> None:
+        """A machine whose block record is gone was returned, with all that was on it."""
+        for job in list(self.jobs.values()):
+            changed = False
+            for index, task in list(job.tasks.items()):
+                if task.machine and task.stored and not self.session.holder_of(task.machine):
+                    status = Status(task.machine, task.number, f"{job.id}/{index}",
+                                    task.attempt, GONE)  # fmt: skip
+                    self._over_attempt(job, index, task, status)
+                    changed = True
+            if changed:
+                self._flush(job)
--- /dev/null
+++ b/src/beamspar/control/records.py
@@ -0,0 +1,101 @@
+"""How jobs lie in the state service, and reading them back.
+
+`job/<id>` holds the specification and the first tasks, `task/<id>/<k>` further
+chunks of them, and `end/<id>` what stays of a job that is over. A job moves from
+`job/` to `end/` in one transaction and never back, so reading them in this order
+can't miss it. Only tasks that differ from 'waiting, never started' are written.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from beamspar.state import ACCEPT, Item, StateClient
+from beamspar.wire import Spec
+
+LIVE, WITHDRAWN, DONE = "live", "withdrawn", "done"
+# Bytes that one task takes in a record at most, in JSON form, with room to spare.
+TASK_BYTES = 44
+
+
+class Chunk(msgspec.Struct):
+    """Tasks of one record: bound [index, attempt, machine], waiting again, done ranges."""
+
+    bound: list[tuple[int, int, str]] = msgspec.field(name="b", default_factory=list)
+    again: list[tuple[int, int]] = msgspec.field(name="a", default_factory=list)
+    done: list[tuple[int, int]] = msgspec.field(name="d", default_factory=list)
+
+
+class JobRecord(msgspec.Struct):
+    spec: dict[str, Any] = msgspec.field(name="s")
+    folio: str = msgspec.field(name="f")
+    status: str = msgspec.field(name="st", default=LIVE)
+    done: int = msgspec.field(name="n", default=0)
+    running: int = msgspec.field(name="r", default=0)
+    chunk: Chunk = msgspec.field(name="t", default_factory=Chunk)
+    stamp: str = msgspec.field(name="w", default="")
+
+
+class EndRecord(msgspec.Struct):
+    status: str = msgspec.field(name="st")
+    done: int = msgspec.field(name="n", default=0)
+
+
+def job_key(job: str) -> str:
+    return f"job/{job}"
+
+
+def end_key(job: str) -> str:
+    return f"end/{job}"
+
+
+def mark_key(job: str) -> str:
+    return f"c/w/{job}"
+
+
+def chunk_key(job: str, chunk: int) -> str:
+    return f"task/{job}/{chunk}"
+
+
+def chunk_size(value_kb: float) -> int:
+    """Half of a value goes to the tasks, the other half to the specification."""
+    return max(int(value_kb * 1024 / 2 / TASK_BYTES), 1)
+
+
+def ranges(indexes: list[int]) -> list[tuple[int, int]]:
+    """Ascending indexes as inclusive ranges."""
+    found: list[tuple[int, int]] = []
+    for index in indexes:
+        if found and found[-1][1] == index - 1:
+            found[-1] = (found[-1][0], index)
+        else:
+            found.append((index, index))
+    return found
+
+
+def read_job(item: Item) -> JobRecord:
+    record: JobRecord = msgspec.convert(item.value, JobRecord)
+    return record
+
+
+def read_spec(record: JobRecord) -> Spec:
+    spec: Spec = msgspec.convert(record.spec, Spec)
+    return spec
+
+
+async def is_bound(state: StateClient, per: int, task: str, attempt: int, machine: str) -> bool:
+    """Does the stored record bind this attempt to this machine?"""
+    job, _, index_text = task.partition("/")
+    if not index_text.isdigit():
+        return False
+    index = int(index_text)
+    item = await state.get(job_key(job), ACCEPT)
+    if item is None:
+        return False
+    chunk = read_job(item).chunk
+    if index // per:
+        part = await state.get(chunk_key(job, index // per), ACCEPT)
+        chunk = msgspec.convert(part.value, Chunk) if part else Chunk()
+    return (index, attempt, machine) in chunk.bound
--- /dev/null
+++ b/src/beamspar/control/session.py
@@ -0,0 +1,281 @@
+"""This process's standing: its grant, its fence and its mirror of the control keys.
+
+Everything that a controller may do hangs on `valid()`: both its grant's renewal
+and its knowledge of withdrawals must be recent, counted from when the asking was
+*sent*. A cut-off controller therefore stops in time by its own clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.logger import Logger
+
+from beamspar.http import Clock, sleep, spawn
+from beamspar.settings import Settings, Timing
+from beamspar.state import (
+    URGENT,
+    Compacted,
+    Conflict,
+    InDoubt,
+    NoLease,
+    StateClient,
+    StateDown,
+    put,
+)
+
+log = Logger(namespace="session")
+
+CONTROL = "c/"
+LEADER = "c/leader"
+
+
+class Machine(msgspec.Struct):
+    """A machine as its block's record names it."""
+
+    name: str
+    address: str
+    kind: str
+    zone: str
+    spot: bool = False
+
+
+class Block(msgspec.Struct):
+    """A leased block; the record's revision is its fencing number."""
+
+    holder: str
+    inc: int
+    machines: list[Machine]
+    number: int = 0
+
+
+class Folio(msgspec.Struct):
+    """The jobs that one incarnation accepted; they change owner together."""
+
+    owner: str
+    version: int = 0
+
+
+class Session:
+    """Owns the grant and the mirror; tells listeners which control keys changed."""
+
+    def __init__(
+        self, clock: Clock, state: StateClient, settings: Settings, timing: Timing
+    ) -> None:
+        self.clock = clock
+        self.state = state
+        self.timing = timing
+        self.me = settings.member
+        self.peer_names = {s.member for s in settings.siblings} | {self.me}
+        self.inc = 0
+        self.permit = 0
+        self.fence_version = 0
+        self.folio = ""
+        self.revision = 0
+        self.renewed_at = -1e9
+        self.watched_at = -1e9
+        self.values: dict[str, tuple[Any, int]] = {}
+        self.dropped: dict[str, int] = {}
+        self.blocks: dict[str, Block] = {}
+        self.folios: dict[str, Folio] = {}
+        self.block_of: dict[str, str] = {}
+        self.withdrawn: set[str] = set()
+        self.members: set[str] = set()
+        self.listeners: list[Callable[[str], None]] = []
+        self.started = False
+        self.lost = False
+        self.on_lost: Callable[[str], None] = lambda why: None
+
+    # -- standing
+
+    @property
+    def fence_key(self) -> str:
+        return f"c/fence/{self.me}"
+
+    def valid(self) -> bool:
+        """May this process act as holder and owner right now?"""
+        if not self.started or self.lost:
+            return False
+        return self.clock.seconds() < min(self.renewed_at, self.watched_at) + self.timing.validity
+
+    def fence(self) -> dict[str, int]:
+        """The condition that keeps a former self's or a deposed owner's writes out."""
+        return {self.fence_key: self.fence_version}
+
+    def folio_fence(self, folio: str) -> dict[str, int]:
+        record = self.folios.get(folio)
+        return {f"c/folio/{folio}": record.version if record else 0}
+
+    @property
+    def leader(self) -> str | None:
+        value = self.values.get(LEADER)
+        return str(value[0].get("name")) if value and isinstance(value[0], dict) else None
+
+    def holder_of(self, machine: str) -> tuple[str, int] | None:
+        block = self.blocks.get(self.block_of.get(machine, ""))
+        return (block.holder, block.number) if block else None
+
+    def machine(self, name: str) -> Machine | None:
+        block = self.blocks.get(self.block_of.get(name, ""))
+        for machine in block.machines if block else ():
+            if machine.name == name:
+                return machine
+        return None
+
+    def _lose(self, why: str) -> None:
+        if not self.lost:
+            self.lost = True
+            log.warn("standing lost: {why}", why=why)
+            self.on_lost(why)
+
+    # -- start
+
+    async def start(self) -> None:
+        """Become a new incarnation. Former selves are fenced out by the same write."""
+        while not self.lost:
+            try:
+                if await self._register():
+                    break
+            except (StateDown, NoLease) as error:
+                log.info("registering waits: {error}", error=error)
+            except Conflict as error:
+                log.info("registering again: {failed}", failed=error.failed)
+            await sleep(self.clock, self.timing.retry)
+        self.started = True
+        log.info("registered as {me}.{inc}", me=self.me, inc=self.inc)
+        spawn(self._renewing(), "renewals")
+        spawn(self._watching(), "watch")
+
+    async def _register(self) -> bool:
+        sent = self.clock.seconds()
+        permit = await self.state.grant(self.timing.grant)
+        await self._load()
+        old, version = self.values.get(self.fence_key, ({}, 0))
+        inc = int(old.get("inc", 0)) + 1
+        folio = f"{self.me}.{inc}"
+        try:
+            revision = await self.state.multi(
+                {self.fence_key: version},
+                [
+                    put(self.fence_key, {"inc": inc}),
+                    put(f"c/member/{self.me}", {"inc": inc}, permit),
+                    put(f"c/folio/{folio}", {"owner": self.me}),
+                ],
+                URGENT,
+            )
+        except InDoubt:
+            # It may have been applied: the next round reads what stands and fences it.
+            return False
+        self.inc, self.permit, self.fence_version, self.folio = inc, permit, revision, folio
+        self.renewed_at = sent
+        await self._load()
+        return self.values.get(self.fence_key, ({}, 0))[1] == revision
+
+    async def _load(self) -> None:
+        sent = self.clock.seconds()
+        items, revision = await self.state.scan(CONTROL, URGENT)
+        fresh = {item.key: (item.value, item.version) for item in items}
+        changed = [k for k in self.values if k not in fresh]
+        for key in changed:
+            self._apply(key, None, revision)
+        for key, (value, version) in fresh.items():
+            if self.values.get(key, (None, 0))[1] != version:
+                self._apply(key, value, version)
+        self.revision = revision
+        self.watched_at = sent
+
+    # -- mirror
+
+    def learn(self, key: str, value: Any, version: int) -> None:
+        """Take in a control write of our own without waiting for the watch."""
+        known = max(self.values.get(key, (None, 0))[1], self.dropped.get(key, 0))
+        if version > known:
+            self._apply(key, value, version)
+
+    def _apply(self, key: str, value: Any, version: int) -> None:
+        if value is None:
+            known = self.values.get(key)
+            if known is None or known[1] > version:
+                return
+            del self.values[key]
+            # The answer to an own write may come after the watch told of its removal.
+            self.dropped[key] = version
+            while len(self.dropped) > 1000:
+                del self.dropped[next(iter(self.dropped))]
+        else:
+            self.values[key] = (value, version)
+        kind, _, name = key.removeprefix(CONTROL).partition("/")
+        try:
+            if kind == "block":
+                self._apply_block(name, value, version)
+            elif kind == "folio":
+                self.folios.pop(name, None)
+                if value is not None:
+                    self.folios[name] = Folio(str(value["owner"]), version)
+            elif kind == "w":
+                (self.withdrawn.discard if value is None else self.withdrawn.add)(name)
+            elif kind == "member":
+                (self.members.discard if value is None else self.members.add)(name)
+            elif kind == "fence" and name == self.me and self.started:
+                if version != self.fence_version:
+                    self._lose("fenced by another")
+        except (msgspec.ValidationError, KeyError, TypeError) as error:
+            log.error("odd control record {key}: {error}", key=key, error=error)
+        for listener in self.listeners:
+            listener(key)
+
+    def _apply_block(self, name: str, value: Any, version: int) -> None:
+        old = self.blocks.pop(name, None)
+        for machine in old.machines if old else ():
+            if self.block_of.get(machine.name) == name:
+                del self.block_of[machine.name]
+        if value is not None:
+            block = msgspec.convert(value, Block)
+            block.number = version
+            self.blocks[name] = block
+            for machine in block.machines:
+                self.block_of[machine.name] = name
+
+    # -- loops
+
+    async def _renewing(self) -> None:
+        while not self.lost:
+            sent = self.clock.seconds()
+            pause = self.timing.renew
+            try:
+                await self.state.extend(self.permit)
+                self.renewed_at = sent
+            except NoLease:
+                self._lose("the grant has ended")
+                return
+            except StateDown as error:
+                pause = self.timing.retry
+                log.info("renewal failed: {error}", error=error)
+            await sleep(self.clock, pause)
+
+    async def _watching(self) -> None:
+        while not self.lost:
+            sent = self.clock.seconds()
+            try:
+                events, revision = await self.state.watch(
+                    CONTROL, self.revision, self.timing.hold
+                )
+                if self.lost:
+                    return
+                self.revision = max(self.revision, revision)
+                self.watched_at = sent
+                for event in events:
+                    if event.put is not None:
+                        self.learn(event.put, event.value, event.version)
+                    elif event.drop is not None:
+                        self._apply(event.drop, None, event.version)
+            except Compacted:
+                try:
+                    await self._load()
+                except StateDown:
+                    await sleep(self.clock, self.timing.retry)
+            except StateDown as error:
+                log.info("watch failed: {error}", error=error)
+                await sleep(self.clock, self.timing.retry)
--- /dev/null
+++ b/src/beamspar/placement.py
@@ -0,0 +1,150 @@
+"""Where a task goes: pure functions, without clock, input, output or globals.
+
+The rule is DESIGN's: machines that cache the image and have room come first;
+otherwise any machine with room, at once; never a queue for a warm one. What the
+rule leaves open, ties, goes to spreading replicas over zones and machines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+
+import msgspec
+
+from beamspar.wire import MachineType, Spec
+
+EPS = 1e-6
+
+
+class Room(msgspec.Struct):
+    """What is free on one machine, as its holder tells."""
+
+    name: str
+    kind: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    images: set[str] = msgspec.field(default_factory=set)
+    # Per priority rank: what stopping all lower work would add.
+    evictable: list[tuple[float, float, float]] = msgspec.field(default_factory=list)
+    usable: bool = True
+    tasks: int = 0
+
+    def take(self, spec: Spec) -> None:
+        self.cpus -= spec.cpus
+        self.gpus -= spec.gpus
+        self.memory_gb -= spec.memory_gb
+        self.tasks += 1
+
+
+def fits_type(spec: Spec, kind: MachineType) -> bool:
+    if spec.kinds is not None and kind.name not in spec.kinds:
+        return False
+    if spec.zone is not None and spec.zone not in kind.zones:
+        return False
+    return (
+        spec.cpus <= kind.cpus + EPS
+        and spec.gpus <= kind.gpus + EPS
+        and spec.memory_gb <= kind.memory_gb + EPS
+    )
+
+
+def allowed(spec: Spec, room: Room, zones: Mapping[str, int]) -> bool:
+    """May the job have one more task here, given where its others may be?"""
+    if not room.usable or (room.spot and not spec.spot):
+        return False
+    if spec.kinds is not None and room.kind not in spec.kinds:
+        return False
+    if spec.zone is not None and room.zone != spec.zone:
+        return False
+    if spec.one_zone and any(count and zone != room.zone for zone, count in zones.items()):
+        return False
+    return not spec.spread or zones.get(room.zone, 0) < (spec.tasks + 1) // 2
+
+
+def has_room(spec: Spec, room: Room) -> bool:
+    return (
+        spec.cpus <= room.cpus + EPS
+        and spec.gpus <= room.gpus + EPS
+        and spec.memory_gb <= room.memory_gb + EPS
+    )
+
+
+def choose(
+    spec: Spec,
+    rooms: Iterable[Room],
+    zones: Mapping[str, int],
+    machines: Mapping[str, int],
+    avoid: Collection[str] = (),
+    near: Collection[str] = (),
+    warm_only: bool = False,
+) -> Room | None:
+    """The machine for one more task, or None. `near` wins among cold ones."""
+    best: Room | None = None
+    best_key: tuple[object, ...] = ()
+    for room in rooms:
+        if room.name in avoid or not has_room(spec, room) or not allowed(spec, room, zones):
+            continue
+        warm = spec.image in room.images
+        if warm_only and not warm:
+            continue
+        key = (
+            not warm,
+            spec.gpus == 0 and room.gpus > EPS,
+            spec.spot and not room.spot,
+            machines.get(room.name, 0),
+            zones.get(room.zone, 0),
+            not warm and room.name not in near,
+            room.gpus - spec.gpus,
+            room.cpus - spec.cpus,
+            room.name,
+        )
+        if best is None or key < best_key:
+            best, best_key = room, key
+    return best
+
+
+def choose_eviction(
+    spec: Spec, rooms: Iterable[Room], zones: Mapping[str, int], avoid: Collection[str] = ()
+) -> Room | None:
+    """A machine where stopping lower work would make room, losing as little as can be."""
+    best: Room | None = None
+    best_key: tuple[object, ...] = ()
+    for room in rooms:
+        if room.name in avoid or not allowed(spec, room, zones):
+            continue
+        if spec.rank >= len(room.evictable):
+            continue
+        cpus, gpus, memory = room.evictable[spec.rank]
+        widened = Room(
+            room.name, room.kind, room.zone, room.spot,
+            room.cpus + cpus, room.gpus + gpus, room.memory_gb + memory,
+        )  # fmt: skip
+        if not has_room(spec, widened):
+            continue
+        missing = max(spec.gpus - room.gpus, 0.0) * 16 + max(spec.cpus - room.cpus, 0.0)
+        key = (spec.image not in room.images, missing, zones.get(room.zone, 0), room.name)
+        if best is None or key < best_key:
+            best, best_key = room, key
+    return best
+
+
+def slots(spec: Spec, rooms: Iterable[Room]) -> int:
+    """How many tasks of this shape would fit now."""
+    total = 0
+    for room in rooms:
+        if not allowed(spec, room, {}):
+            continue
+        counts = [
+            int((have + EPS) / want)
+            for have, want in (
+                (room.cpus, spec.cpus),
+                (room.gpus, spec.gpus),
+                (room.memory_gb, spec.memory_gb),
+            )
+            if want > 0
+        ]
+        total += max(min(counts, default=0), 0)
+    return total
--- /dev/null
+++ b/src/beamspar/settings.py
@@ -0,0 +1,156 @@
+"""The platform's settings file, checked, and the operators' own tuning."""
+
+from __future__ import annotations
+
+import tomllib
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text is one clear line for the operator."""
+
+
+class Sibling(msgspec.Struct, frozen=True):
+    member: str
+    peer_addr: str
+    site: str = ""
+
+
+class Services(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"lane": "class"}):
+    kind: str = ""
+    lane: str = ""
+    within_s: float = 0.0
+    share: float = 0.0
+
+
+class WorkerFacts(msgspec.Struct, frozen=True):
+    report_s: float
+    lease_s: float
+    cancel_s: float
+
+
+class StateFacts(msgspec.Struct, frozen=True):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class CloudFacts(msgspec.Struct, frozen=True):
+    rps: float
+    list_lag_s: float
+
+
+class Limits(msgspec.Struct, frozen=True):
+    cores: float = 1.0
+    memory_mb: float = 256.0
+    sockets: int = 1000
+
+
+class Facts(msgspec.Struct, frozen=True):
+    workers: WorkerFacts
+    state: StateFacts
+    cloud: CloudFacts
+    nodes: int = 1
+    zones: list[str] = []
+    skew_ms: float = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    limits: Limits = Limits()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    member: str
+    public_addr: str
+    peer_bind: str
+    services: Services
+    facts: Facts
+    site: str = ""
+    siblings: list[Sibling] = []
+
+
+class Tuning(msgspec.Struct, frozen=True):
+    """What operators may set by flag or variable; ratios to the platform's figures."""
+
+    block_size: int = 1
+    lease_share: float = 1.0
+    headroom: float = 0.2
+
+
+# Steady clocks of different machines may drift apart by this share (PROTOCOL).
+DRIFT = 0.0005
+
+
+class Timing:
+    """Every duration of the service, as a ratio to a figure of the settings."""
+
+    def __init__(self, settings: Settings, tuning: Tuning) -> None:
+        w = settings.facts.workers
+        self.report = w.report_s
+        self.worker_lease = w.lease_s
+        # A controller that is cut off learns of no withdrawal. It may answer its
+        # workers until its lease ends and they may run on for theirs, so both
+        # together must fit into the time that a cancellation has.
+        room = (w.cancel_s - w.lease_s) * tuning.lease_share
+        self.grant = max(room * 0.97, 1.0)
+        self.validity = self.grant * (1 - 4 * DRIFT) - room * 0.03
+        # A task on a silent worker is certainly gone this long after the last answer.
+        self.worker_gone = w.lease_s * (1 + 4 * DRIFT) + w.report_s * 0.1
+        self.renew = self.grant / 10
+        self.hold = w.report_s * 0.67
+        self.beat = w.report_s / 6
+        self.sync = w.report_s / 2
+        self.retry = w.report_s / 6
+        self.call = w.report_s / 2
+        self.order = w.report_s * 0.67
+        self.poll = w.report_s / 2
+        self.silent = w.report_s * 2.5
+
+
+def _address(text: str, what: str) -> None:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"settings: {what} is not HOST:PORT: {text!r}")
+
+
+def load(path: str) -> Settings:
+    """Read and check the settings file; unknown fields are ignored."""
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError(f"settings: can't read {path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"settings: {path} is not TOML: {error}") from error
+    try:
+        settings = msgspec.convert(raw, Settings, strict=True)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"settings: {path}: {error}") from error
+    _address(settings.public_addr, "public_addr")
+    _address(settings.peer_bind, "peer_bind")
+    _address(settings.services.cloud, "services.cloud")
+    _address(settings.services.state, "services.state")
+    for sibling in settings.siblings:
+        _address(sibling.peer_addr, f"siblings {sibling.member} peer_addr")
+    facts = settings.facts
+    if facts.workers.report_s <= 0 or facts.workers.lease_s <= 0:
+        raise SettingsError("settings: facts.workers durations must be above 0")
+    if facts.workers.cancel_s <= facts.workers.lease_s:
+        raise SettingsError("settings: facts.workers.cancel_s must exceed lease_s")
+    if facts.state.txn_ops < 4 or facts.state.rps <= 0 or facts.state.write_rps <= 0:
+        raise SettingsError("settings: facts.state limits are too small to work with")
+    return settings
--- /dev/null
+++ b/src/beamspar/state.py
@@ -0,0 +1,258 @@
+"""Client of the state service: paced, prioritised, and honest about doubt."""
+
+from __future__ import annotations
+
+import heapq
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from beamspar.http import Answer, CallFailed, Clock, Net
+from beamspar.settings import Settings, Timing
+from beamspar.wire import pack, unpack
+
+
+class StateDown(Exception):
+    """Not executed, or a read without an answer: ask again later."""
+
+
+class InDoubt(StateDown):
+    """No answer to a change: it may have been executed, or may be later."""
+
+
+class NoLease(Exception):
+    """The grant has ended."""
+
+
+class Compacted(Exception):
+    """The watch asked for changes that are no longer kept."""
+
+
+class Conflict(Exception):
+    """A condition did not hold; `failed` names the keys."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(f"failed: {failed}")
+        self.failed = failed
+
+
+class Item(msgspec.Struct):
+    key: str
+    value: Any = msgspec.field(name="data")
+    version: int = msgspec.field(name="entry_rev")
+
+
+class Event(msgspec.Struct):
+    version: int = msgspec.field(name="entry_rev")
+    put: str | None = None
+    drop: str | None = None
+    value: Any = msgspec.field(name="data", default=None)
+
+
+# Priorities of the queue: lower goes first.
+URGENT, ACCEPT, PLACE, DONE, CHORE = range(5)
+
+
+class _Bucket:
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self.clock = clock
+        self.rate = rate
+        self.level = rate
+        self.at = clock.seconds()
+
+    def fill(self) -> float:
+        now = self.clock.seconds()
+        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.at = now
+        return self.level
+
+
+class StateClient:
+    """All calls to the state service pass one queue that keeps this node's share.
+
+    The service counts requests and changes of all nodes together, and a node
+    that floods it takes renewals from the others; so each keeps to a share.
+    """
+
+    SHARE = 1.25
+
+    def __init__(self, clock: Clock, net: Net, settings: Settings, timing: Timing) -> None:
+        self.clock = clock
+        self.net = net
+        self.address = settings.services.state
+        self.facts = settings.facts.state
+        self.limit_s = timing.call
+        nodes = max(settings.facts.nodes, 1)
+        self.requests = _Bucket(clock, max(self.facts.rps / nodes * self.SHARE * 0.8, 2.0))
+        self.changes = _Bucket(clock, max(self.facts.write_rps / nodes * self.SHARE, 2.0))
+        self.queue: list[tuple[int, int, int, Deferred[None]]] = []
+        self.turn = 0
+        self.timer: Any = None
+        self.last_ok = clock.seconds()
+        self.failing_since: float | None = None
+
+    @property
+    def backlog(self) -> int:
+        return len(self.queue)
+
+    def _admit(self, priority: int, changes: int) -> Deferred[None]:
+        ready: Deferred[None] = Deferred()
+        self.turn += 1
+        heapq.heappush(self.queue, (priority, self.turn, changes, ready))
+        self._pump()
+        return ready
+
+    def _pump(self) -> None:
+        while self.queue:
+            priority, _, changes, ready = self.queue[0]
+            requests = self.requests.fill()
+            level = self.changes.fill()
+            need = min(changes, self.changes.rate)
+            if priority > URGENT and (requests < 1 or level < need):
+                if self.timer is None:
+                    wait = max((1 - requests) / self.requests.rate, 0.0)
+                    wait = max(wait, (need - level) / self.changes.rate, 0.005)
+                    self.timer = self.clock.callLater(wait, self._again)
+                return
+            heapq.heappop(self.queue)
+            self.requests.level -= 1
+            self.changes.level -= changes
+            ready.callback(None)
+
+    def _again(self) -> None:
+        self.timer = None
+        self._pump()
+
+    def _note(self, ok: bool) -> None:
+        now = self.clock.seconds()
+        if ok:
+            self.last_ok = now
+            self.failing_since = None
+        elif self.failing_since is None:
+            self.failing_since = now
+
+    async def _call(
+        self, method: str, path: str, body: Any, limit_s: float, changing: bool
+    ) -> tuple[int, Any]:
+        raw = pack(body) if body is not None else None
+        try:
+            answer: Answer = await self.net.request(method, self.address, path, raw, limit_s)
+        except CallFailed as error:
+            self._note(False)
+            raise (InDoubt if changing else StateDown)(str(error)) from error
+        if answer.status in (429, 503):
+            self._note(answer.status == 429)
+            raise StateDown(f"{method} {path}: {answer.status}")
+        if answer.status >= 500:
+            self._note(False)
+            raise (InDoubt if changing else StateDown)(f"{method} {path}: {answer.status}")
+        try:
+            data = unpack(answer.body) if answer.body else {}
+        except msgspec.DecodeError as error:
+            raise (InDoubt if changing else StateDown)(f"{path}: odd reply") from error
+        self._note(True)
+        return answer.status, data if isinstance(data, dict) else {}
+
+    async def get(self, key: str, priority: int = ACCEPT) -> Item | None:
+        await self._admit(priority, 0)
+        status, data = await self._call("GET", f"/store/{key}", None, self.limit_s, False)
+        if status == 404:
+            return None
+        return self._convert(data, Item, status)
+
+    def _convert(self, data: Any, kind: Any, status: int) -> Any:
+        if status != 200:
+            raise StateDown(f"odd status {status}")
+        try:
+            return msgspec.convert(data, kind)
+        except msgspec.ValidationError as error:
+            raise StateDown(f"odd reply: {error}") from error
+
+    async def scan(self, prefix: str, priority: int = ACCEPT) -> tuple[list[Item], int]:
+        """All keys below the prefix, and a revision the first page is at least as new as."""
+        items: list[Item] = []
+        first = 0
+        after = ""
+        while True:
+            await self._admit(priority, 0)
+            path = f"/store?under={quote(prefix, safe='/')}&most=1000"
+            if after:
+                path += f"&since={quote(after, safe='/')}"
+            status, data = await self._call("GET", path, None, self.limit_s * 2, False)
+            rows = self._convert(data.get("rows", []), list[Item], status)
+            revision = data.get("ledger_rev")
+            if not isinstance(revision, int):
+                raise StateDown("odd reply: no ledger_rev")
+            first = first or revision
+            items.extend(rows)
+            if not data.get("truncated") or not rows:
+                return items, first
+            after = rows[-1].key
+
+    async def multi(
+        self,
+        conditions: dict[str, int],
+        changes: list[dict[str, Any]],
+        priority: int = PLACE,
+    ) -> int:
+        """One transaction; the new revision. Conflict, InDoubt, NoLease or StateDown."""
+        await self._admit(priority, len(changes))
+        body: dict[str, Any] = {
+            "if": [{"key": key, "entry_rev": version} for key, version in conditions.items()]
+        }
+        if changes:
+            body["apply"] = changes
+        status, data = await self._call("POST", "/multi", body, self.limit_s, bool(changes))
+        if status == 409:
+            failed = data.get("failed")
+            raise Conflict([k for k in failed if isinstance(k, str)] if failed else [])
+        if status == 400:
+            raise NoLease(str(data.get("error")))
+        revision = data.get("ledger_rev")
+        if status != 200 or not isinstance(revision, int):
+            raise InDoubt(f"odd reply to a transaction: {status}")
+        return revision
+
+    async def grant(self, life_s: float) -> int:
+        await self._admit(URGENT, 0)
+        body = {"life_ms": int(life_s * 1000)}
+        status, data = await self._call("POST", "/grants", body, self.limit_s, True)
+        permit = data.get("permit")
+        if status != 200 or not isinstance(permit, int):
+            raise StateDown(f"odd reply to a grant: {status}")
+        return permit
+
+    async def extend(self, permit: int) -> None:
+        await self._admit(URGENT, 0)
+        path = f"/grants/{permit}/extend"
+        status, _ = await self._call("POST", path, {}, self.limit_s, True)
+        if status == 404:
+            raise NoLease(f"grant {permit}")
+        if status != 200:
+            raise StateDown(f"odd reply to an extension: {status}")
+
+    async def watch(self, prefix: str, since: int, hold_s: float) -> tuple[list[Event], int]:
+        """Changes below the prefix after a revision; empty when the time runs out."""
+        await self._admit(URGENT, 0)
+        path = f"/watch?under={quote(prefix, safe='/')}&since={since}&hold_ms={int(hold_s * 1000)}"
+        status, data = await self._call("GET", path, None, hold_s + self.limit_s * 2, False)
+        if status == 410:
+            raise Compacted
+        events = self._convert(data.get("events") or [], list[Event], status)
+        revision = data.get("ledger_rev")
+        if not isinstance(revision, int):
+            raise StateDown("odd reply: no ledger_rev")
+        return events, revision
+
+
+def put(key: str, value: Any, permit: int | None = None) -> dict[str, Any]:
+    change = {"put": key, "data": value}
+    if permit is not None:
+        change["permit"] = permit
+    return change
+
+
+def drop(key: str) -> dict[str, Any]:
+    return {"drop": key}
--- /dev/null
+++ b/src/beamspar/workers.py
@@ -0,0 +1,31 @@
+"""Client of the workers: direct orders, and the report that answers them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from beamspar.http import CallFailed, Net
+from beamspar.wire import BadInput, Report, orders, parse_report
+
+
+class WorkerClient:
+    def __init__(self, net: Net, limit_s: float) -> None:
+        self.net = net
+        self.limit_s = limit_s
+
+    async def order(
+        self, address: str, token: int, session: int, commands: list[dict[str, Any]]
+    ) -> tuple[bool, Report]:
+        """Whether the orders were executed, and the report after them.
+
+        CallFailed means doubt: the orders may be executed minutes later, while
+        number and session still match.
+        """
+        body = orders(token, session, commands)
+        answer = await self.net.request("POST", address, "/orders", body, self.limit_s)
+        if answer.status not in (200, 409):
+            raise CallFailed(f"worker {address} answered {answer.status}")
+        try:
+            return answer.status == 200, parse_report(answer.body)
+        except BadInput as error:
+            raise CallFailed(f"worker {address}: odd report: {error}") from error
