--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.logger import Logger
@@ -34,6 +35,7 @@
         self.needed: dict[tuple[str, str], Pair] = {}
         self.capped: dict[tuple[str, str], Pair] = {}
         self.busy: set[str] = set()
+        self.loaded: Callable[[], set[str]] = set
 
     def _record(self, team: str) -> tuple[dict[str, Any], int]:
         value, version = self.session.values.get(f"c/budget/{team}", ({}, 0))
@@ -49,6 +51,8 @@
         team = self.teams.get(job.spec.team)
         if team is None:
             return True
+        if not self._ours(job.folio):
+            return False
         key = (job.folio, team.name)
         used, share = self.used.get(key, (0.0, 0.0)), self.share(*key)
         cpus, gpus = used[0] + job.spec.cpus, used[1] + job.spec.gpus
@@ -76,6 +80,12 @@
             cpus, gpus = self.used.get(key, (0.0, 0.0))
             self.used[key] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
 
+    def forget(self, folio: str) -> None:
+        """The folio has another owner now."""
+        for table in (self.used, self.needed, self.capped):
+            for key in [k for k in table if k[0] == folio]:
+                del table[key]
+
     def tick(self) -> None:
         """Give back what lies unused, all of it when the limit is handed out."""
         for name in self.teams:
@@ -84,8 +94,11 @@
                 self._start(name)
 
     def _ours(self, folio: str) -> bool:
+        """Ours, and with all its jobs in memory: before that its use looks like none,
+        and its share would be given away under tasks that still run."""
         record = self.session.folios.get(folio)
-        return record is not None and record.owner == self.session.me
+        ours = record is not None and record.owner == self.session.me
+        return ours and folio in self.loaded()
 
     def _spare(self, folio: str, name: str, record: dict[str, Any]) -> bool:
         share = record.get(folio, (0.0, 0.0))
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -100,6 +100,7 @@
             self.dice,
         )  # fmt: skip
         owner.budget = budget
+        budget.loaded = lambda: owner.loaded
         owner.rooms, owner.ask, owner.send = holder.rooms, self._ask, self._send_syncs
         holder.push = self._push
         holder.on_room = owner.pump
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -143,7 +143,9 @@
         chunk = Chunk(done=records.ranges(sorted(self.done.get(number, ()))))
         for index in range(low, min(high, self.untouched)):
             task = self.tasks.get(index)
-            if task is None:
+            # A task whose `done` is not stored yet is still among the tasks: listed
+            # as waiting, an heir would run and count it twice.
+            if task is None or self.is_done(index):
                 continue
             if task.machine is not None:
                 chunk.bound.append((index, task.attempt, task.machine))
@@ -181,6 +183,8 @@
         self.arriving: dict[str, Job] = {}
         self.clears: dict[tuple[str, str, int], tuple[str, int, float]] = {}
         self.folios: set[str] = set()
+        # Until all jobs of a folio are in memory, what its tasks use is not known.
+        self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
         self.seq = 0
         self.pumping = False
@@ -209,8 +213,11 @@
                         spawn(self.load(), "taking over")
             elif name in self.folios:
                 self.folios.discard(name)
+                self.loaded.discard(name)
                 for job in [j for j in self.jobs.values() if j.folio == name]:
                     del self.jobs[job.id]
+                if self.budget:
+                    self.budget.forget(name)
         elif kind == "block":
             block = self.session.blocks.get(name)
             for machine in block.machines if block else ():
@@ -224,6 +231,7 @@
     async def load(self) -> None:
         """Read the jobs of our folios that we don't have in memory yet."""
         while not self.session.lost:
+            folios = set(self.folios)
             try:
                 items, _ = await self.state.scan("job/", PLACE)
                 for item in items:
@@ -232,8 +240,8 @@
                     if record.folio not in self.folios or job_id in self.jobs:
                         continue
                     job = await self._restore(record, item.version)
-                    if job_id not in self.jobs:
-                        self.jobs[job_id] = job
+                    self._keep(job)
+                self.loaded |= folios & self.folios
                 log.info("{n} jobs of {folios}", n=len(self.jobs), folios=sorted(self.folios))
                 self._due_all()
                 self.pump()
@@ -271,9 +279,16 @@
             if index not in job.tasks and not job.is_done(index):
                 job.tasks[index] = Task()
                 job.again.append(index)
+        return job
+
+    def _keep(self, job: Job) -> bool:
+        """Count a restored job in, once; False when it is not ours to keep."""
+        if job.id in self.jobs or job.folio not in self.folios:
+            return False
+        self.jobs[job.id] = job
         if self.budget:
             self.budget.restore(job)
-        return job
+        return True
 
     async def accept(self, spec: Spec) -> bool:
         """Store a new job, with its first places if there is room; False: it is known."""
@@ -335,7 +350,7 @@
             record = records.read_job(item)
             if record.folio in self.folios:
                 job = await self._restore(record, item.version)
-                if self.jobs.setdefault(job_id, job) is job:
+                if job_id not in self.arriving and self._keep(job):
                     log.info("adopted {job}", job=job_id)
                     self._due(job)
                     self._flush(job)
@@ -682,7 +697,7 @@
             self.clears[(status.machine, status.task, status.attempt)] = (job.folio, number, now)
         if status.state == ENDED and status.why == "done" and not job.spec.is_service:
             job.done.setdefault(index // job.per, set()).add(index)
-            job.done_count += 1
+            job.done_count = sum(len(done) for done in job.done.values())
             return job
         if job.status == LIVE:
             if status.why in ("error", "no_room", "unknown", "in_use"):
