--- a/src/beamspar/cli.py
+++ b/src/beamspar/cli.py
@@ -4,7 +4,7 @@
 
 import os
 import sys
-from typing import Any
+from typing import Any, cast
 
 import click
 
@@ -35,7 +35,7 @@
         sys.stderr.write(f"{level} {event.get('log_namespace', '')}: {text}\n")
         sys.stderr.flush()
 
-    observer = FilteringLogObserver(write, [predicate])  # type: ignore[arg-type]
+    observer: Any = FilteringLogObserver(cast(Any, write), [cast(Any, predicate)])
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
 
 
@@ -43,7 +43,7 @@
     """Run one controller until it is killed."""
     import random
 
-    from twisted.internet import reactor
+    from twisted.internet import reactor as installed
 
     from beamspar.control.node import Node
     from beamspar.http import RealNet, spawn
@@ -52,31 +52,42 @@
 
     start_log(os.environ.get("LOG_LEVEL", "info"))
     timing = Timing(settings, tuning)
+    reactor: Any = installed
     net = RealNet(reactor, timing.call, BODY_LIMIT)
-    node = Node(reactor, net, settings, tuning, random.Random())  # type: ignore[arg-type]
-    reactor.callWhenRunning(spawn, node.start(), "start")  # type: ignore[attr-defined]
-    reactor.run()  # type: ignore[attr-defined]
+    node = Node(reactor, net, settings, tuning, random.Random())
+    reactor.callWhenRunning(spawn, node.start(), "start")
+    reactor.run()
 
 
 @click.command()
 @click.option("--config", required=True, type=str, help="The platform's settings file (TOML).")
 @click.option("--check", is_flag=True, help="Validate the settings and stop.")
 @click.option(
-    "--block-size", default=1, show_default=True, envvar="BEAMSPAR_BLOCK_SIZE",
-    type=click.IntRange(1, 100), help="Machines that are leased together.",
+    "--block-size",
+    default=1,
+    show_default=True,
+    envvar="BEAMSPAR_BLOCK_SIZE",
+    type=click.IntRange(1, 100),
+    help="Machines that are leased together.",
 )
 @click.option(
-    "--lease-share", default=1.0, show_default=True, envvar="BEAMSPAR_LEASE_SHARE",
-    type=click.FloatRange(0.1, 1.0), help="Lease length as a share of the longest safe one.",
+    "--lease-share",
+    default=1.0,
+    show_default=True,
+    envvar="BEAMSPAR_LEASE_SHARE",
+    type=click.FloatRange(0.1, 1.0),
+    help="Lease length as a share of the longest safe one.",
 )
 @click.option(
-    "--headroom", default=0.2, show_default=True, envvar="BEAMSPAR_HEADROOM",
-    type=click.FloatRange(0.0, 10.0), help="Free room kept, as a share of each class's tasks.",
+    "--headroom",
+    default=0.2,
+    show_default=True,
+    envvar="BEAMSPAR_HEADROOM",
+    type=click.FloatRange(0.0, 10.0),
+    help="Free room kept, as a share of each class's tasks.",
 )
-@click.version_option(__version__, prog_name="beamspar")  # fmt: skip
-def main(
-    config: str, check: bool, block_size: int, lease_share: float, headroom: float
-) -> None:
+@click.version_option(__version__, prog_name="beamspar")
+def main(config: str, check: bool, block_size: int, lease_share: float, headroom: float) -> None:
     """Run one beamspar controller."""
     try:
         settings = load(config)
--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -90,7 +90,7 @@
                 raise BadInput("the description is too long to be stored")
         except BadInput as error:
             return await self._known_or(job, reply(400, {"error": str(error)}))
-        if job in self.ends or self.node.owner and job in self.node.owner.jobs:
+        if job in self.ends or (self.node.owner and job in self.node.owner.jobs):
             return await self._poll(job)
         if not self.node.types or not self.node.acting():
             return busy()
--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -97,13 +97,14 @@
         """Ours, and with all its jobs in memory: before that its use looks like none,
         and its share would be given away under tasks that still run."""
         record = self.session.folios.get(folio)
-        ours = record is not None and record.owner == self.session.me
-        return ours and folio in self.loaded()
+        if record is None or record.owner != self.session.me:
+            return False
+        return folio in self.loaded()
 
     def _spare(self, folio: str, name: str, record: dict[str, Any]) -> bool:
         share = record.get(folio, (0.0, 0.0))
         target = self._target(folio, self.teams[name], record)
-        return share[0] > target[0] + EPS or share[1] > target[1] + EPS
+        return bool(share[0] > target[0] + EPS or share[1] > target[1] + EPS)
 
     def _target(self, folio: str, team: Team, record: dict[str, Any]) -> Pair:
         key = (folio, team.name)
@@ -128,9 +129,7 @@
         conditions = {**self.session.fence(), f"c/budget/{name}": version}
         for folio in folios:
             target = self._target(folio, team, record)
-            rest = [
-                sum(float(pair[i]) for f, pair in record.items() if f != folio) for i in (0, 1)
-            ]
+            rest = [sum(float(pair[i]) for f, pair in record.items() if f != folio) for i in (0, 1)]
             used = self.used.get((folio, name), (0.0, 0.0))
             share = (
                 max(min(target[0], team.cpus_max - rest[0]), used[0]),
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -118,8 +118,9 @@
                 del self.booting[name]
             elif now - boot.since < kind.boot_s * 2.5:
                 rooms.append(
-                    Room(name, boot.kind, boot.zone, boot.spot,
-                         kind.cpus, kind.gpus, kind.memory_gb)  # fmt: skip
+                    Room(
+                        name, boot.kind, boot.zone, boot.spot, kind.cpus, kind.gpus, kind.memory_gb
+                    )
                 )
         return rooms
 
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -144,9 +144,11 @@
                     self.rigs[machine.name] = rig
                     log.info(
                         "holding {rig} ({kind}, {zone}) under {number}",
-                        rig=machine.name, kind=machine.kind, zone=machine.zone,
+                        rig=machine.name,
+                        kind=machine.kind,
+                        zone=machine.zone,
                         number=block.number,
-                    )  # fmt: skip
+                    )
                     self._take_wants(rig)
                     self.step(rig)
         for name in [n for n in self.rigs if n not in names]:
@@ -232,13 +234,15 @@
             # One job failing in many places is a bad job; many jobs failing in one
             # place is a bad machine.
             recent = [
-                j for j, at in rig.errors.items()
+                j
+                for j, at in rig.errors.items()
                 if now - at < self.timing.worker_lease * 6 and len(self.bad_jobs.get(j, ())) < 3
-            ]  # fmt: skip
+            ]
             if len(recent) >= 2 or (len(recent) == 1 and len(places) == 1):
                 span = self.timing.worker_lease * (6 if len(recent) >= 2 else 1)
                 rig.sick_until = max(rig.sick_until, now + span)
-                log.warn("{rig} fails tasks of {jobs}: set aside", rig=rig.machine.name, jobs=recent)
+                name = rig.machine.name
+                log.warn("{rig} fails tasks of {jobs}: set aside", rig=name, jobs=recent)
         if task.status == "ended":
             self.on_room()
 
@@ -351,8 +355,10 @@
 
     def _fits(self, rig: Rig, key: Key, want: Want) -> bool:
         cpus, gpus, memory = self._free(rig, key)
-        return want.cpus <= cpus + 1e-6 and want.gpus <= gpus + 1e-6 and (
-            want.memory_gb <= memory + 1e-6
+        return (
+            want.cpus <= cpus + 1e-6
+            and want.gpus <= gpus + 1e-6
+            and (want.memory_gb <= memory + 1e-6)
         )
 
     def _evict(self, rig: Rig, key: Key, want: Want) -> bool:
@@ -360,15 +366,18 @@
         cpus, gpus, memory = self._free(rig, key)
         victims = sorted(
             (
-                (k, w) for k, w in rig.wants.items()
+                (k, w)
+                for k, w in rig.wants.items()
                 if w.rank > want.rank and rig.live(k) and k != key
             ),
             key=lambda item: (-item[1].rank, not item[1].saves, item[1].gpus),
-        )  # fmt: skip
+        )
         chosen = []
         for k, w in victims:
-            if want.cpus <= cpus + 1e-6 and want.gpus <= gpus + 1e-6 and (
-                want.memory_gb <= memory + 1e-6
+            if (
+                want.cpus <= cpus + 1e-6
+                and want.gpus <= gpus + 1e-6
+                and (want.memory_gb <= memory + 1e-6)
             ):
                 break
             cpus, gpus, memory = cpus + w.cpus, gpus + w.gpus, memory + w.memory_gb
@@ -378,7 +387,8 @@
         for k, w in chosen:
             if k not in rig.evicted:
                 rig.evicted[k] = w.save_s * 1.5 if w.saves else 0.0
-                log.info("{rig}: {k} makes room for {key}", rig=rig.machine.name, k=k[0], key=key[0])
+                name = rig.machine.name
+                log.info("{rig}: {k} makes room for {key}", rig=name, k=k[0], key=key[0])
         return True
 
     def _commands(self, rig: Rig) -> list[dict[str, Any]]:
@@ -483,8 +493,11 @@
                 sent.append((key, start))
                 log.info(
                     "start {task} try {attempt} on {rig} under {number}",
-                    task=key[0], attempt=key[1], rig=rig.machine.name, number=rig.number,
-                )  # fmt: skip
+                    task=key[0],
+                    attempt=key[1],
+                    rig=rig.machine.name,
+                    number=rig.number,
+                )
         try:
             done, report = await self.workers.order(
                 rig.machine.address, rig.number, session, commands
@@ -577,9 +590,10 @@
             evictable = []
             for rank in range(4):
                 lower = [
-                    w for k, w in rig.wants.items()
+                    w
+                    for k, w in rig.wants.items()
                     if w.rank > rank and rig.live(k) and k not in rig.evicted
-                ]  # fmt: skip
+                ]
                 evictable.append(
                     (
                         sum(w.cpus for w in lower),
@@ -589,15 +603,29 @@
                 )
             machine = rig.machine
             room = Room(
-                machine.name, machine.kind, machine.zone, machine.spot, cpus, gpus, memory,
-                set(rig.images), evictable, self._usable(rig),
+                machine.name,
+                machine.kind,
+                machine.zone,
+                machine.spot,
+                cpus,
+                gpus,
+                memory,
+                set(rig.images),
+                evictable,
+                self._usable(rig),
                 sum(1 for k in rig.wants if rig.live(k)),
-            )  # fmt: skip
+            )
             views.append(
                 View(
-                    room, rig.number, rig.fresh, rig.lost, rig.sick_until > now,
-                    rig.notice_s is not None, now - rig.last_heard, now - rig.idle_since,
-                )  # fmt: skip
+                    room,
+                    rig.number,
+                    rig.fresh,
+                    rig.lost,
+                    rig.sick_until > now,
+                    rig.notice_s is not None,
+                    now - rig.last_heard,
+                    now - rig.idle_since,
+                )
             )
         return views
 
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -20,7 +20,7 @@
 from beamspar.http import Clock, spawn
 from beamspar.placement import Room, choose, choose_eviction
 from beamspar.settings import Settings, Timing, Tuning
-from beamspar.state import CHORE, URGENT, Conflict, NoLease, StateClient, StateDown, drop, put
+from beamspar.state import URGENT, Conflict, NoLease, StateClient, StateDown, drop, put
 from beamspar.wire import Spec
 
 log = Logger(namespace="leader")
@@ -166,7 +166,7 @@
         for dead in sorted((owners | holders) - self.session.members):
             fence_key = f"c/fence/{dead}"
             old, version = self.session.values.get(fence_key, ({}, 0))
-            value = {"inc": int(old.get("inc", 0)) + 1}
+            value: dict[str, Any] = {"inc": int(old.get("inc", 0)) + 1}
             terms = {**self._terms(), f"c/member/{dead}": 0}
             revision = await self.state.multi(
                 {**terms, fence_key: version}, [put(fence_key, value)], URGENT
@@ -188,9 +188,10 @@
                     heir = self._pick_holder(zone, counts)
                     counts[heir] += len(block.machines)
                     value = {
-                        "holder": heir, "inc": self._inc(heir),
+                        "holder": heir,
+                        "inc": self._inc(heir),
                         "machines": msgspec.to_builtins(block.machines),
-                    }  # fmt: skip
+                    }
                     changes.append((f"c/block/{name}", value))
             await self._write(changes, terms)
 
@@ -217,9 +218,10 @@
 
     async def _lease_new(self) -> None:
         new = [
-            m for m, _ in self.seen.values()
+            m
+            for m, _ in self.seen.values()
             if m.name not in self.session.block_of and m.name not in self.fleet.returned
-        ]  # fmt: skip
+        ]
         self.seen.clear()
         if not new:
             return
@@ -236,12 +238,18 @@
                 holder = self._pick_holder(zone, counts)
                 counts[holder] += len(part)
                 value = {
-                    "holder": holder, "inc": self._inc(holder),
+                    "holder": holder,
+                    "inc": self._inc(holder),
                     "machines": msgspec.to_builtins(part),
-                }  # fmt: skip
+                }
                 changes.append((f"c/block/{part[0].name}", value))
-                log.info("leasing {names} ({kind}, {zone}) to {holder}",
-                         names=[m.name for m in part], kind=kind, zone=zone, holder=holder)  # fmt: skip
+                log.info(
+                    "leasing {names} ({kind}, {zone}) to {holder}",
+                    names=[m.name for m in part],
+                    kind=kind,
+                    zone=zone,
+                    holder=holder,
+                )
         await self._write(changes, self._terms())
 
     async def _drop_returned(self) -> None:
@@ -253,9 +261,10 @@
                 continue
             if left:
                 value = {
-                    "holder": block.holder, "inc": block.inc,
+                    "holder": block.holder,
+                    "inc": block.inc,
                     "machines": msgspec.to_builtins(left),
-                }  # fmt: skip
+                }
                 changes.append((f"c/block/{name}", value))
             else:
                 changes.append((f"c/block/{name}", None))
@@ -305,10 +314,7 @@
             return Offers(offers)
         now = self.clock.seconds()
         rooms = self.rooms()
-        near = {
-            r.name for r in rooms
-            if (self.session.holder_of(r.name) or ("", 0))[0] == member
-        }  # fmt: skip
+        near = {r.name for r in rooms if (self.session.holder_of(r.name) or ("", 0))[0] == member}
         serial = 0
         for ask in asks:
             spec = msgspec.convert(ask.spec, Spec)
@@ -328,8 +334,9 @@
                     room.evictable = []
                 serial += 1
                 self.loans[(f"{spec.id}#{serial}@{now}", room.name)] = (
-                    spec, now + self.timing.beat * 2,
-                )  # fmt: skip
+                    spec,
+                    now + self.timing.beat * 2,
+                )
                 zones[room.zone] = zones.get(room.zone, 0) + 1
                 machines[room.name] = machines.get(room.name, 0) + 1
                 offers.append(Placed(spec.id, room.name, evict))
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -96,9 +96,15 @@
         budget = Budget(session, self.state, self.settings)
         fleet = Fleet(self.clock, self.cloud, session, self.settings, self.timing, self.types)
         leader = Leader(
-            self.clock, session, self.state, fleet, self.settings, self.timing, self.tuning,
+            self.clock,
+            session,
+            self.state,
+            fleet,
+            self.settings,
+            self.timing,
+            self.tuning,
             self.dice,
-        )  # fmt: skip
+        )
         owner.budget = budget
         budget.loaded = lambda: owner.loaded
         owner.rooms, owner.ask, owner.send = holder.rooms, self._ask, self._send_syncs
@@ -134,9 +140,10 @@
                 key = f"c/block/{name}"
                 conditions[key] = block.number
                 value = {
-                    "holder": session.me, "inc": session.inc,
+                    "holder": session.me,
+                    "inc": session.inc,
                     "machines": msgspec.to_builtins(block.machines),
-                }  # fmt: skip
+                }
                 changes.append(put(key, value))
             try:
                 revision = await self.state.multi(conditions, changes, URGENT)
@@ -320,9 +327,13 @@
                 entry[0] = entry[0] or msgspec.to_builtins(job.spec)
                 entry[1] += job.bound
         summary = Summary(
-            session.me, session.inc, self.holder.views(), True,
-            [msgspec.to_builtins(m) for m in self.seen.values()], lanes,
-        )  # fmt: skip
+            session.me,
+            session.inc,
+            self.holder.views(),
+            True,
+            [msgspec.to_builtins(m) for m in self.seen.values()],
+            lanes,
+        )
         self.seen.clear()
         if leader == session.me:
             self.leader.beat(summary)
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -54,8 +54,17 @@
 class Task:
     """One task that is bound or has been; untouched tasks have none of these."""
 
-    __slots__ = ("attempt", "avoid", "evict", "failures", "machine", "number", "state",
-                 "stored", "not_before")  # fmt: skip
+    __slots__ = (
+        "attempt",
+        "avoid",
+        "evict",
+        "failures",
+        "machine",
+        "not_before",
+        "number",
+        "state",
+        "stored",
+    )
 
     def __init__(self, attempt: int = 0) -> None:
         self.attempt = attempt
@@ -155,9 +164,14 @@
 
     def record(self) -> dict[str, Any]:
         record = JobRecord(
-            msgspec.to_builtins(self.spec), self.folio, self.status, self.done_count,
-            self.bound, self.chunk(0), self.stamp,
-        )  # fmt: skip
+            msgspec.to_builtins(self.spec),
+            self.folio,
+            self.status,
+            self.done_count,
+            self.bound,
+            self.chunk(0),
+            self.stamp,
+        )
         data: dict[str, Any] = msgspec.to_builtins(record)
         return data
 
@@ -325,8 +339,11 @@
         self.jobs[spec.id] = job
         log.info(
             "accepted {job} ({lane}): {n} tasks, {placed} placed",
-            job=spec.id, lane=spec.lane, n=spec.tasks, placed=job.bound,
-        )  # fmt: skip
+            job=spec.id,
+            lane=spec.lane,
+            n=spec.tasks,
+            placed=job.bound,
+        )
         self._due(job)
         self._flush(job)
         if job.waiting(self.clock.seconds(), 1):
@@ -582,9 +599,13 @@
                 zones, machines = job.places(self._zone_of)
                 asks.append(
                     Ask(
-                        msgspec.to_builtins(job.spec), left, zones, machines,
-                        sorted(self._avoid(job)), now - job.since,
-                    )  # fmt: skip
+                        msgspec.to_builtins(job.spec),
+                        left,
+                        zones,
+                        machines,
+                        sorted(self._avoid(job)),
+                        now - job.since,
+                    )
                 )
                 asked.append(job)
         if not asks:
@@ -640,8 +661,11 @@
         job.dirty.add(index // job.per)
         log.info(
             "{job}/{index} try {attempt} to {rig}",
-            job=job.id, index=index, attempt=task.attempt, rig=machine,
-        )  # fmt: skip
+            job=job.id,
+            index=index,
+            attempt=task.attempt,
+            rig=machine,
+        )
         return True
 
     def _unbind(self, job: Job, index: int, task: Task) -> None:
@@ -688,9 +712,12 @@
         now = self.clock.seconds()
         log.info(
             "{task} try {attempt} on {rig}: {state} {why}",
-            task=status.task, attempt=status.attempt, rig=status.machine,
-            state=status.state, why=status.why or "",
-        )  # fmt: skip
+            task=status.task,
+            attempt=status.attempt,
+            rig=status.machine,
+            state=status.state,
+            why=status.why or "",
+        )
         number = status.number
         self._unbind(job, index, task)
         if status.state == ENDED:
@@ -760,11 +787,21 @@
                 task.number = held[1]
                 wants.setdefault(job.folio, []).append(
                     Want(
-                        task.machine, held[1], f"{job.id}/{index}", task.attempt,
+                        task.machine,
+                        held[1],
+                        f"{job.id}/{index}",
+                        task.attempt,
                         RUN if job.status == LIVE else STOP,
-                        spec.cpus, spec.gpus, spec.memory_gb, spec.image, spec.image_gb,
-                        spec.rank, spec.checkpoint_s > 0, spec.save_s, task.evict,
-                    )  # fmt: skip
+                        spec.cpus,
+                        spec.gpus,
+                        spec.memory_gb,
+                        spec.image,
+                        spec.image_gb,
+                        spec.rank,
+                        spec.checkpoint_s > 0,
+                        spec.save_s,
+                        task.evict,
+                    )
                 )
         for (machine, name, attempt), (folio, _, since) in list(self.clears.items()):
             held = self.session.holder_of(machine)
@@ -804,8 +841,9 @@
             changed = False
             for index, task in list(job.tasks.items()):
                 if task.machine and task.stored and not self.session.holder_of(task.machine):
-                    status = Status(task.machine, task.number, f"{job.id}/{index}",
-                                    task.attempt, GONE)  # fmt: skip
+                    status = Status(
+                        task.machine, task.number, f"{job.id}/{index}", task.attempt, GONE
+                    )
                     self._over_attempt(job, index, task, status)
                     changed = True
             if changed:
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -259,9 +259,7 @@
         while not self.lost:
             sent = self.clock.seconds()
             try:
-                events, revision = await self.state.watch(
-                    CONTROL, self.revision, self.timing.hold
-                )
+                events, revision = await self.state.watch(CONTROL, self.revision, self.timing.hold)
                 if self.lost:
                     return
                 self.revision = max(self.revision, revision)
--- a/src/beamspar/http.py
+++ b/src/beamspar/http.py
@@ -106,10 +106,10 @@
 
 
 class _Calls(Resource):
-    isLeaf = True
+    isLeaf = True  # noqa: N815
 
     def __init__(self, handler: Handler, body_limit: int) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.handler = handler
         self.body_limit = body_limit
 
@@ -155,14 +155,14 @@
     """A site that opens no more connections than its share of the sockets."""
 
     def __init__(self, resource: Resource, most: int) -> None:
-        super().__init__(resource, timeout=120)
+        super().__init__(resource, timeout=120)  # type: ignore[no-untyped-call]
         self.most = most
         self.open = 0
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         if self.open >= self.most:
             return None
-        channel = super().buildProtocol(addr)
+        channel = super().buildProtocol(addr)  # type: ignore[no-untyped-call]
         self.open += 1
         lost = channel.connectionLost
 
@@ -211,4 +211,5 @@
     def listen(self, address: str, handler: Handler, most: int) -> Deferred[Any]:
         host, _, port = address.rpartition(":")
         endpoint = TCP4ServerEndpoint(self.reactor, int(port), backlog=256, interface=host)
-        return endpoint.listen(_Site(_Calls(handler, self.body_limit), most))
+        listening: Deferred[Any] = endpoint.listen(_Site(_Calls(handler, self.body_limit), most))
+        return listening
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -119,9 +119,14 @@
             continue
         cpus, gpus, memory = room.evictable[spec.rank]
         widened = Room(
-            room.name, room.kind, room.zone, room.spot,
-            room.cpus + cpus, room.gpus + gpus, room.memory_gb + memory,
-        )  # fmt: skip
+            room.name,
+            room.kind,
+            room.zone,
+            room.spot,
+            room.cpus + cpus,
+            room.gpus + gpus,
+            room.memory_gb + memory,
+        )
         if not has_room(spec, widened):
             continue
         missing = max(spec.gpus - room.gpus, 0.0) * 16 + max(spec.cpus - room.cpus, 0.0)
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -160,7 +160,8 @@
         status, data = await self._call("GET", f"/store/{key}", None, self.limit_s, False)
         if status == 404:
             return None
-        return self._convert(data, Item, status)
+        item: Item = self._convert(data, Item, status)
+        return item
 
     def _convert(self, data: Any, kind: Any, status: int) -> Any:
         if status != 200:
--- a/src/beamspar/wire.py
+++ b/src/beamspar/wire.py
@@ -62,10 +62,24 @@
 
 
 _REQUIRED = (
-    "id", "lane", "owner", "shape", "urgency", "parcels", "cpus", "accelerators",
-    "memory_gb", "crate", "size_gb", "together", "scatter", "standby", "eta_s",
-    "stamp_every_s", "stamp_s",
-)  # fmt: skip
+    "id",
+    "lane",
+    "owner",
+    "shape",
+    "urgency",
+    "parcels",
+    "cpus",
+    "accelerators",
+    "memory_gb",
+    "crate",
+    "size_gb",
+    "together",
+    "scatter",
+    "standby",
+    "eta_s",
+    "stamp_every_s",
+    "stamp_s",
+)
 
 
 def parse_spec(data: Any) -> Spec:
@@ -88,11 +102,15 @@
     if not 1 <= spec.tasks <= MAX_TASKS:
         raise BadInput(f"parcels is not within 1 and {MAX_TASKS}")
     amounts = {
-        "cpus": spec.cpus, "accelerators": spec.gpus, "memory_gb": spec.memory_gb,
-        "size_gb": spec.image_gb, "eta_s": spec.estimate_s,
-        "stamp_every_s": spec.checkpoint_s, "stamp_s": spec.save_s,
+        "cpus": spec.cpus,
+        "accelerators": spec.gpus,
+        "memory_gb": spec.memory_gb,
+        "size_gb": spec.image_gb,
+        "eta_s": spec.estimate_s,
+        "stamp_every_s": spec.checkpoint_s,
+        "stamp_s": spec.save_s,
         "due_s": spec.deadline_s or 0.0,
-    }  # fmt: skip
+    }
     for name, amount in amounts.items():
         if not math.isfinite(amount) or amount < 0:
             raise BadInput(f"{name} is not an amount")
