--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -18,7 +18,7 @@
 from beamspar.control.messages import Ask, Directions, Offers, Placed, Summary, View
 from beamspar.control.session import LEADER, Machine, Session
 from beamspar.http import Clock, spawn
-from beamspar.placement import Room, choose, choose_eviction
+from beamspar.placement import Room, choose, choose_eviction, choose_group
 from beamspar.settings import Settings, Timing, Tuning
 from beamspar.state import URGENT, Conflict, NoLease, StateClient, StateDown, drop, put
 from beamspar.wire import Spec
@@ -320,6 +320,13 @@
             spec = msgspec.convert(ask.spec, Spec)
             zones, machines = dict(ask.zones), dict(ask.machines)
             left = min(ask.count, 200)
+            if spec.grouped and not ask.zones:
+                group = choose_group(spec, ask.count, rooms, {}, {}, ask.avoid, near)
+                for room in group:
+                    serial = self._lend(spec, room, serial, now)
+                    offers.append(Placed(spec.id, room.name))
+                self.wishes[spec.id] = (spec, 0 if group else ask.count, now)
+                continue
             while left:
                 room = choose(spec, rooms, zones, machines, ask.avoid, near)
                 evict = False
@@ -328,15 +335,10 @@
                     evict = room is not None
                 if room is None:
                     break
-                room.take(spec)
+                serial = self._lend(spec, room, serial, now)
                 if evict:
                     # Its lower work is spoken for now.
                     room.evictable = []
-                serial += 1
-                self.loans[(f"{spec.id}#{serial}@{now}", room.name)] = (
-                    spec,
-                    now + self.timing.beat * 2,
-                )
                 zones[room.zone] = zones.get(room.zone, 0) + 1
                 machines[room.name] = machines.get(room.name, 0) + 1
                 offers.append(Placed(spec.id, room.name, evict))
@@ -344,6 +346,12 @@
             self.wishes[spec.id] = (spec, left, now)
         return Offers(offers)
 
+    def _lend(self, spec: Spec, room: Room, serial: int, now: float) -> int:
+        """Take the room off the picture until the holder's own summary shows it."""
+        room.take(spec)
+        self.loans[(f"{spec.id}#{serial}@{now}", room.name)] = (spec, now + self.timing.beat * 2)
+        return serial + 1
+
     # -- the cloud
 
     async def _list(self) -> None:
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -32,7 +32,7 @@
 from beamspar.control.records import DONE, LIVE, WITHDRAWN, Chunk, EndRecord, JobRecord
 from beamspar.control.session import Session
 from beamspar.http import Clock, sleep, spawn
-from beamspar.placement import Room, choose
+from beamspar.placement import Room, choose, choose_group
 from beamspar.settings import Settings, Timing
 from beamspar.state import (
     CHORE,
@@ -116,9 +116,10 @@
 
     def waiting(self, now: float, most: int) -> list[int]:
         """Indexes that may be placed now, those that ran before first."""
-        if self.status != LIVE:
+        if self.status != LIVE or (self.spec.is_gang and self.bound):
+            # A gang starts anew only after all of its old attempts are over.
             return []
-        found = []
+        found: list[int] = []
         for index in self.again:
             if self.tasks[index].not_before <= now:
                 found.append(index)
@@ -614,7 +615,16 @@
         if not self.session.valid():
             return
         by_id = {job.id: job for job in asked}
+        groups: dict[str, list[tuple[str, bool]]] = {}
         for offer in offers or ():
+            if offer.job in by_id and by_id[offer.job].spec.grouped:
+                groups.setdefault(offer.job, []).append((offer.machine, offer.evict))
+        for name, places in groups.items():
+            if not by_id[name].bound:
+                self._bind_group(by_id[name], by_id[name].waiting(now, len(places)), places)
+        for offer in offers or ():
+            if offer.job in groups and by_id[offer.job].bound:
+                continue
             offered = by_id.get(offer.job)
             indexes = offered.waiting(now, 1) if offered else []
             if offered and indexes:
@@ -641,6 +651,9 @@
     def _fill(
         self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
     ) -> None:
+        if job.spec.grouped and not job.bound:
+            self._fill_group(job, rooms, near, now, warm_only)
+            return
         for index in job.waiting(now, 200):
             zones, machines = job.places(self._zone_of)
             room = choose(
@@ -650,6 +663,32 @@
                 return
             room.take(job.spec)
 
+    def _fill_group(
+        self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
+    ) -> None:
+        indexes = job.waiting(now, job.spec.tasks)
+        if len(indexes) + job.done_count < job.spec.tasks:
+            return
+        chosen = choose_group(
+            job.spec, len(indexes), rooms, {}, {}, self._avoid(job), near, warm_only
+        )
+        self._bind_group(job, indexes, [(room.name, False) for room in chosen])
+        for room in chosen if job.bound else ():
+            room.take(job.spec)
+
+    def _bind_group(self, job: Job, indexes: list[int], places: list[tuple[str, bool]]) -> None:
+        """Bind all or none."""
+        if len(places) < len(indexes):
+            return
+        for index, (machine, evict) in zip(indexes, places, strict=False):
+            if not self._bind(job, index, machine, evict):
+                for done in indexes:
+                    task = job.tasks.get(done)
+                    if task is not None and task.machine is not None:
+                        self._unbind(job, done, task)
+                        job.again.append(done)
+                return
+
     def _bind(self, job: Job, index: int, machine: str, evict: bool) -> bool:
         """Bind a waiting task; the start waits until this is stored."""
         if self.budget is not None and not self.budget.take(job):
@@ -791,7 +830,7 @@
                         held[1],
                         f"{job.id}/{index}",
                         task.attempt,
-                        RUN if job.status == LIVE else STOP,
+                        STOP if job.status != LIVE or (spec.is_gang and job.again) else RUN,
                         spec.cpus,
                         spec.gpus,
                         spec.memory_gb,
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -106,6 +106,38 @@
     return best
 
 
+def choose_group(
+    spec: Spec,
+    count: int,
+    rooms: list[Room],
+    zones: Mapping[str, int],
+    machines: Mapping[str, int],
+    avoid: Collection[str] = (),
+    near: Collection[str] = (),
+    warm_only: bool = False,
+) -> list[Room]:
+    """Machines for all of a group's tasks, warm ones first, or none at all."""
+    best: list[Room] = []
+    best_warm = -1
+    for zone in sorted({r.zone for r in rooms}) if spec.one_zone else [""]:
+        left = [msgspec.structs.replace(r) for r in rooms if not zone or r.zone == zone]
+        by_name = {r.name: r for r in rooms}
+        taken: list[Room] = []
+        there, on = dict(zones), dict(machines)
+        while len(taken) < count:
+            room = choose(spec, left, there, on, avoid, near, warm_only)
+            if room is None:
+                break
+            room.take(spec)
+            there[room.zone] = there.get(room.zone, 0) + 1
+            on[room.name] = on.get(room.name, 0) + 1
+            taken.append(by_name[room.name])
+        warm = sum(1 for room in taken if spec.image in room.images)
+        if len(taken) == count and warm > best_warm:
+            best, best_warm = taken, warm
+    return best
+
+
 def choose_eviction(
     spec: Spec, rooms: Iterable[Room], zones: Mapping[str, int], avoid: Collection[str] = ()
 ) -> Room | None:
--- a/src/beamspar/wire.py
+++ b/src/beamspar/wire.py
@@ -56,6 +56,15 @@
     def is_service(self) -> bool:
         return self.shape == "standing"
 
+    @property
+    def is_gang(self) -> bool:
+        return self.shape == "ensemble"
+
+    @property
+    def grouped(self) -> bool:
+        """Its tasks are placed together or not at all."""
+        return self.tasks > 1 and (self.is_gang or (self.is_service and self.one_zone))
+
     @property
     def rank(self) -> int:
         return PRIORITIES[self.priority]
@@ -95,8 +104,8 @@
         raise BadInput(str(error)) from error
     if not JOB_ID.match(spec.id):
         raise BadInput("id is not of the form j-...")
-    if spec.shape not in ("sweep", "standing"):
-        raise BadInput("shape is neither sweep nor standing")
+    if spec.shape not in ("sweep", "standing", "ensemble"):
+        raise BadInput("shape is none of sweep, standing and ensemble")
     if spec.priority not in PRIORITIES:
         raise BadInput("urgency is unknown")
     if not 1 <= spec.tasks <= MAX_TASKS:
