--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -320,11 +320,12 @@
             spec = msgspec.convert(ask.spec, Spec)
             zones, machines = dict(ask.zones), dict(ask.machines)
             left = min(ask.count, 200)
+            room: Room | None
             if spec.grouped and not ask.zones:
                 group = choose_group(spec, ask.count, rooms, {}, {}, ask.avoid, near)
-                for room in group:
-                    serial = self._lend(spec, room, serial, now)
-                    offers.append(Placed(spec.id, room.name))
+                for chosen in group:
+                    serial = self._lend(spec, chosen, serial, now)
+                    offers.append(Placed(spec.id, chosen.name))
                 self.wishes[spec.id] = (spec, 0 if group else ask.count, now)
                 continue
             while left:
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -132,7 +132,7 @@
         """Mark a waiting task as about to be bound."""
         if index >= self.untouched:
             self.untouched = index + 1
-            self.tasks[index] = Task()
+            self.tasks.setdefault(index, Task())
         else:
             self.again.remove(index)
         return self.tasks[index]
@@ -680,6 +680,11 @@
         """Bind all or none."""
         if len(places) < len(indexes):
             return
+        if job.spec.is_gang:
+            # Members find each other by their attempt: it is one number for all.
+            level = max(task.attempt for task in [*job.tasks.values(), Task()])
+            for index in indexes:
+                job.tasks.setdefault(index, Task()).attempt = level
         for index, (machine, evict) in zip(indexes, places, strict=False):
             if not self._bind(job, index, machine, evict):
                 for done in indexes:
