--- /dev/null
+++ b/tests/standins/checker.py
@@ -0,0 +1,113 @@
+"""Watches every rule of PROTOCOL; a broken one is an entry in `broken`."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.task import Clock
+
+FINAL = ("done", "withdrawn")
+
+
+class Checker:
+    def __init__(self, clock: Clock, cancel_s: float, limits: dict[str, tuple[float, float]]):
+        self.clock = clock
+        self.cancel_s = cancel_s
+        self.limits = limits
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.on: dict[str, set[tuple[str, int]]] = {}
+        self.where: dict[str, tuple[str, str, bool]] = {}
+        self.done: dict[str, set[int]] = {}
+        self.accepted: set[str] = set()
+        self.asked: set[str] = set()
+        self.told: dict[str, tuple[str, float]] = {}
+        self.started = 0
+        self.broken: list[str] = []
+
+    def _break(self, rule: str, text: str) -> None:
+        self.broken.append(f"{rule} at {self.clock.seconds():.2f}: {text}")
+
+    # -- what workers do
+
+    def start(self, task: str, attempt: int, machine: str) -> None:
+        self.started += 1
+        others = [m for m, _ in self.on.get(task, set()) if m != machine]
+        if others:
+            self._break("ran_twice", f"{task} starts on {machine}, is on {others}")
+        job, _, _ = task.partition("/")
+        spec = self.jobs[job]
+        kind, zone, spot = self.where[machine]
+        if spec.get("rig_kinds") and kind not in spec["rig_kinds"]:
+            self._break("wrong_place", f"{task} on {kind}")
+        if spec.get("yard") and zone != spec["yard"]:
+            self._break("wrong_place", f"{task} in {zone}")
+        if spot and not spec["standby"]:
+            self._break("wrong_place", f"{task} on a spot machine")
+        zones = [
+            self.where[m][1]
+            for other, places in self.on.items()
+            if other != task and other.startswith(job + "/")
+            for m, _ in places
+        ]
+        if spec["scatter"] and zones.count(zone) + 1 > (spec["parcels"] + 1) // 2:
+            self._break("wrong_place", f"{task}: too many in {zone}")
+        if spec["together"] and any(z != zone for z in zones):
+            self._break("wrong_place", f"{task}: apart from its job")
+        self.on.setdefault(task, set()).add((machine, attempt))
+        self._quota(spec["owner"])
+        told = self.told.get(job)
+        if told and told[0] == "withdrawn" and self.clock.seconds() > told[1] + self.cancel_s:
+            self._break("ran_cancelled", f"{task} starts on {machine}")
+
+    def stop(self, task: str, attempt: int, machine: str) -> None:
+        self.on.get(task, set()).discard((machine, attempt))
+
+    def finish(self, task: str) -> None:
+        job, _, index = task.partition("/")
+        self.done.setdefault(job, set()).add(int(index))
+
+    def _quota(self, team: str) -> None:
+        cpus_max, gpus_max = self.limits.get(team, (0.0, 0.0))
+        cpus = gpus = 0.0
+        for task, places in self.on.items():
+            spec = self.jobs[task.partition("/")[0]]
+            if spec["owner"] == team:
+                cpus += spec["cpus"] * len(places)
+                gpus += spec["accelerators"] * len(places)
+        if (cpus_max and cpus > cpus_max + 1e-6) or (gpus_max and gpus > gpus_max + 1e-6):
+            self._break("quota", f"{team} uses {cpus} cpus and {gpus} gpus")
+
+    # -- what users are told
+
+    def submitted(self, job: str, status: int) -> None:
+        if status in (200, 201):
+            self.accepted.add(job)
+        elif status in (400, 422) and job in self.accepted:
+            self._break("forgotten", f"{job} submitted again gets {status}")
+
+    def answered(self, job: str, status: int, data: Any) -> None:
+        if status == 404 and job in self.accepted:
+            self._break("forgotten", f"{job} gets 404")
+        if status != 200:
+            return
+        if job not in self.asked:
+            self._break("invented", job)
+            return
+        self.accepted.add(job)
+        state = data["status"]
+        old = self.told.get(job, ("", 0.0))[0]
+        if old in FINAL and state != old:
+            self._break("went_back", f"{job} was {old}, is {state}")
+        if state == "done" and len(self.done.get(job, set())) < self.jobs[job]["parcels"]:
+            self._break("not_done", f"{job}: {sorted(self.done.get(job, set()))}")
+        if state in FINAL and old not in FINAL:
+            self.told[job] = (state, self.clock.seconds())
+
+    def sweep(self) -> None:
+        """Withdrawn jobs must be off every machine in time."""
+        now = self.clock.seconds()
+        for task, places in self.on.items():
+            told = self.told.get(task.partition("/")[0])
+            if places and told and told[0] == "withdrawn" and now > told[1] + self.cancel_s:
+                self._break("ran_cancelled", f"{task} is on {sorted(places)}")
+                places.clear()
--- /dev/null
+++ b/tests/standins/state.py
@@ -0,0 +1,158 @@
+"""A stand-in of the state service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from beamspar.http import Answer, Call
+from beamspar.wire import pack, unpack
+
+
+class StateStandin:
+    def __init__(self, clock: Clock, txn_ops: int, value_kb: float) -> None:
+        self.clock = clock
+        self.txn_ops = txn_ops
+        self.value_kb = value_kb
+        self.revision = 1
+        self.items: dict[str, tuple[Any, int, int | None]] = {}
+        self.grants: dict[int, tuple[float, float]] = {}
+        self.next_grant = 1
+        self.history: list[tuple[int, dict[str, Any]]] = []
+        self.watches: list[tuple[str, int, Deferred[Answer]]] = []
+        self.down = False
+        self.oversized: list[str] = []
+        self._expire()
+
+    def outage(self, on: bool) -> None:
+        self.down = on
+        if not on:
+            now = self.clock.seconds()
+            self.grants = {g: (life, now + life) for g, (life, _) in self.grants.items()}
+
+    def _expire(self) -> None:
+        now = self.clock.seconds()
+        if not self.down:
+            for grant in [g for g, (_, until) in self.grants.items() if until < now]:
+                self._end(grant)
+        self.clock.callLater(0.05, self._expire)
+
+    def _end(self, grant: int) -> None:
+        del self.grants[grant]
+        keys = [k for k, item in self.items.items() if item[2] == grant]
+        if keys:
+            self._commit([{"drop": k} for k in keys])
+
+    def _commit(self, changes: list[dict[str, Any]]) -> None:
+        self.revision += 1
+        for change in changes:
+            event: dict[str, Any]
+            if "put" in change:
+                key = change["put"]
+                self.items[key] = (change["data"], self.revision, change.get("permit"))
+                event = {"put": key, "data": change["data"], "entry_rev": self.revision}
+            else:
+                key = change["drop"]
+                if self.items.pop(key, None) is None:
+                    continue
+                event = {"drop": key, "entry_rev": self.revision}
+            self.history.append((self.revision, event))
+        waiting, self.watches = self.watches, []
+        for prefix, since, done in waiting:
+            events = self._events(prefix, since)
+            if events and not self.down:
+                done.callback(self._watched(events))
+            else:
+                self.watches.append((prefix, since, done))
+
+    def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        return [
+            e
+            for rev, e in self.history
+            if rev > since and (e.get("put") or e["drop"]).startswith(prefix)
+        ]
+
+    def _watched(self, events: list[dict[str, Any]]) -> Answer:
+        return Answer(200, pack({"ledger_rev": self.revision, "events": events}))
+
+    async def handle(self, call: Call) -> Answer:
+        if self.down and call.path != "/watch":
+            return Answer(503)
+        body = unpack(call.body) if call.body else {}
+        if call.path.startswith("/store/"):
+            item = self.items.get(call.path.removeprefix("/store/"))
+            if item is None:
+                return Answer(404, pack({"ledger_rev": self.revision}))
+            key = call.path.removeprefix("/store/")
+            return Answer(200, pack({"key": key, "data": item[0], "entry_rev": item[1]}))
+        if call.path == "/store":
+            prefix, after = call.query["under"], call.query.get("since", "")
+            keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+            rows = [
+                {"key": k, "data": self.items[k][0], "entry_rev": self.items[k][1]}
+                for k in keys[:1000]
+            ]
+            return Answer(
+                200,
+                pack({"rows": rows, "truncated": len(keys) > 1000, "ledger_rev": self.revision}),
+            )
+        if call.path == "/multi":
+            return self._multi(body)
+        if call.path == "/grants":
+            grant, self.next_grant = self.next_grant, self.next_grant + 1
+            life = body["life_ms"] / 1000
+            self.grants[grant] = (life, self.clock.seconds() + life)
+            return Answer(200, pack({"permit": grant}))
+        if call.path.startswith("/grants/"):
+            grant = int(call.path.split("/")[2])
+            if grant not in self.grants:
+                return Answer(404)
+            life = self.grants[grant][0]
+            self.grants[grant] = (life, self.clock.seconds() + life)
+            return Answer(200, pack({}))
+        if call.path == "/watch":
+            return await self._watch(call.query)
+        return Answer(400)
+
+    async def _watch(self, query: dict[str, str]) -> Answer:
+        prefix, since = query["under"], int(query["since"])
+        events = self._events(prefix, since)
+        if events and not self.down:
+            return self._watched(events)
+        done: Deferred[Answer] = Deferred()
+        entry = (prefix, since, done)
+        self.watches.append(entry)
+
+        def over() -> None:
+            if entry in self.watches:
+                if self.down:
+                    self.clock.callLater(0.5, over)
+                    return
+                self.watches.remove(entry)
+                done.callback(self._watched(self._events(prefix, since)))
+
+        self.clock.callLater(int(query.get("hold_ms", "0")) / 1000, over)
+        return await done
+
+    def _multi(self, body: Any) -> Answer:
+        changes = body.get("apply", [])
+        assert len(changes) <= self.txn_ops, "too many changes in a transaction"
+        assert len(body["if"]) <= self.txn_ops * 4, "too many conditions in a transaction"
+        for change in changes:
+            if "put" in change and len(pack(change["data"])) > self.value_kb * 1024:
+                self.oversized.append(change["put"])
+        failed = [
+            c["key"]
+            for c in body["if"]
+            if self.items.get(c["key"], (None, 0, None))[1] != c["entry_rev"]
+        ]
+        for change in changes:
+            if change.get("permit") is not None and change["permit"] not in self.grants:
+                return Answer(400, pack({"error": "no such lease"}))
+        if failed:
+            return Answer(409, pack({"failed": failed, "ledger_rev": self.revision}))
+        if changes:
+            self._commit(changes)
+        return Answer(200, pack({"ledger_rev": self.revision}))
--- /dev/null
+++ b/tests/standins/world.py
@@ -0,0 +1,203 @@
+"""A whole simulated deployment: controllers, stand-ins, users and faults."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import Clock
+
+from beamspar.control.node import Node
+from beamspar.http import CallFailed
+from beamspar.settings import (
+    CloudFacts,
+    Facts,
+    Limits,
+    Services,
+    Settings,
+    Sibling,
+    StateFacts,
+    Team,
+    Tuning,
+    WorkerFacts,
+)
+from beamspar.wire import pack, unpack
+from tests.standins.checker import FINAL, Checker
+from tests.standins.net import HostClock, HostNet, Network
+from tests.standins.state import StateStandin
+from tests.standins.workers import CloudStandin, Worker
+
+ZONES = ["east", "west", "south"]
+TYPES = [
+    {"label": "small", "cpus": 4, "accelerators": 0, "memory_gb": 16, "local_gb": 50,
+     "fetch_gb_per_s": 1.0, "hourly": 0.2, "market_price": 0.1, "boot_s": 10, "yards": ZONES},
+    {"label": "big", "cpus": 32, "accelerators": 8, "memory_gb": 256, "local_gb": 200,
+     "fetch_gb_per_s": 4.0, "hourly": 9.0, "market_price": 4.0, "boot_s": 20, "yards": ZONES},
+]  # fmt: skip
+JOB = {
+    "lane": "front", "owner": "red", "shape": "standing", "urgency": "critical", "parcels": 1,
+    "cpus": 1.0, "accelerators": 0.0, "memory_gb": 1.0, "crate": "img", "size_gb": 0.5,
+    "rig_kinds": None, "yard": None, "together": False, "scatter": False, "standby": False,
+    "eta_s": 0.0, "stamp_every_s": 0.0, "stamp_s": 0.0, "due_s": None,
+}  # fmt: skip
+
+
+class World:
+    def __init__(self, seed: int = 1, **options: Any) -> None:
+        self.clock = Clock()
+        self.dice = random.Random(seed)
+        self.network = Network(self.clock, self.dice)
+        self.workers_facts = {
+            "report_s": 3.0, "lease_s": 15.0, "cancel_s": 45.0, **options.get("workers", {})
+        }  # fmt: skip
+        teams = options.get("teams", [{"name": "red"}, {"name": "blue"}])
+        self.checker = Checker(
+            self.clock,
+            self.workers_facts["cancel_s"],
+            {t["name"]: (t.get("cpus_max", 0.0), t.get("gpus_max", 0.0)) for t in teams},
+        )
+        state = {"rps": 200.0, "write_rps": 60.0, "value_kb": 4.0, "txn_ops": 8}
+        state.update(options.get("state", {}))
+        self.state = StateStandin(self.clock, state["txn_ops"], state["value_kb"])
+        self.network.serve("state", "state:1", self.state.handle)
+        self.cloud = CloudStandin(self.clock, TYPES, self._worker)
+        self.network.serve("cloud", "cloud:1", self.cloud.handle)
+        count = options.get("nodes", 3)
+        sites = options.get("sites", ZONES)
+        self.names = [f"rig-{i}" for i in range(count)]
+        self.addresses = {n: f"{n}:80" for n in self.names}
+        self.settings = {
+            name: Settings(
+                name, f"{name}:80", f"{name}:81", Services("cloud:1", "state:1"),
+                Facts(
+                    WorkerFacts(**self.workers_facts), StateFacts(**state), CloudFacts(3.0, 8.0),
+                    count, ZONES, 0.0, [Team(**t) for t in teams], [], Limits(),
+                ),
+                sites[i % len(sites)],
+                [Sibling(n, f"{n}:81", sites[j % len(sites)])
+                 for j, n in enumerate(self.names) if n != name],
+            )
+            for i, name in enumerate(self.names)
+        }  # fmt: skip
+        self.tuning = Tuning(**options.get("tuning", {}))
+        self.nodes: dict[str, Node] = {}
+        for place in options.get("capacity", []):
+            self.cloud.capacity[(place["kind"], place["zone"], place.get("spot", False))] = place[
+                "count"
+            ]
+        machines = options.get(
+            "machines", [{"kind": k, "zone": z} for k in ("small", "big") for z in ZONES]
+        )
+        for m in machines:
+            for _ in range(m.get("count", 1)):
+                self.cloud.add(m["kind"], m["zone"], m.get("spot", False), 0.0)
+        for name in self.names:
+            self.boot(name)
+        self._sweep()
+
+    def _worker(self, machine: dict[str, Any]) -> Worker:
+        kind = next(t for t in TYPES if t["label"] == machine["rig_kind"])
+        return Worker(
+            self.clock, self.network, self.checker, self.dice, machine["id"], kind,
+            machine["yard"], machine["standby"], self.workers_facts, self.addresses,
+        )  # fmt: skip
+
+    def _sweep(self) -> None:
+        self.checker.sweep()
+        self.clock.callLater(1.0, self._sweep)
+
+    # -- controllers
+
+    def boot(self, name: str) -> None:
+        self.network.alive.add(name)
+        net, clock = HostNet(self.network, name), HostClock(self.network, name)
+        node = Node(clock, net, self.settings[name], self.tuning, random.Random(self.dice.random()))
+        self.nodes[name] = node
+        ensureDeferred(node.start())
+
+    def crash(self, name: str, back_s: float | None = 6.0) -> None:
+        self.network.generation[name] = self.network.generation.get(name, 0) + 1
+        self.network.alive.discard(name)
+        if back_s is not None:
+            self.clock.callLater(back_s, self.boot, name)
+
+    def run(self, until: float) -> None:
+        while self.clock.seconds() < until:
+            self.clock.advance(0.005)
+
+    # -- users
+
+    def call(self, node: str, method: str, path: str, body: Any = None) -> Deferred[Any]:
+        raw = body if isinstance(body, bytes) else pack(body) if body is not None else None
+        done = self.network.request("users", method, self.addresses[node], path, raw, 5.0)
+        done.addCallbacks(
+            lambda a: (a.status, unpack(a.body) if a.body else {}),
+            lambda f: (f.trap(CallFailed), (0, {}))[1],
+        )
+        return done
+
+    def submit(self, job: str, node: str | None = None, **fields: Any) -> None:
+        spec = {**JOB, **fields, "id": job}
+        if spec["shape"] != "standing" and "eta_s" not in fields:
+            spec["eta_s"] = 5.0
+        self.checker.jobs[job] = spec
+        self.checker.asked.add(job)
+        self._submit(job, node, 60)
+
+    def _submit(self, job: str, node: str | None, tries: int) -> None:
+        target = node or self.dice.choice(self.names)
+
+        def answered(result: tuple[int, Any]) -> None:
+            status, data = result
+            self.checker.submitted(job, status)
+            if status in (200, 201):
+                self.checker.answered(job, 200, data)
+                self.clock.callLater(5.0, self._poll, job)
+            elif status not in (400, 422) and tries:
+                self.clock.callLater(1.0, self._submit, job, None, tries - 1)
+
+        body = {k: v for k, v in self.checker.jobs[job].items() if k not in ("run_s", "faulty")}
+        self.call(target, "POST", "/submissions", body).addCallback(answered)
+
+    def _poll(self, job: str, once: bool = False) -> None:
+        node = self.dice.choice(self.names)
+
+        def answered(result: tuple[int, Any]) -> None:
+            self.checker.answered(job, *result)
+            told = self.checker.told.get(job, ("", 0))[0]
+            if not once and told not in FINAL:
+                self.clock.callLater(5.0, self._poll, job)
+
+        self.call(node, "GET", f"/submissions/{job}").addCallback(answered)
+
+    def withdraw(self, job: str, node: str | None = None) -> None:
+        target = node or self.dice.choice(self.names)
+
+        def answered(result: tuple[int, Any]) -> None:
+            self.checker.answered(job, *result)
+            if result[0] not in (200, 404):
+                self.clock.callLater(1.0, self.withdraw, job)
+
+        self.call(target, "POST", f"/submissions/{job}/withdraw").addCallback(answered)
+
+    # -- what is so
+
+    def running(self, job: str) -> int:
+        return sum(
+            1
+            for worker in self.cloud.workers.values()
+            for (task, _), state in worker.tasks.items()
+            if task.startswith(job + "/") and state["status"] == "running" and not worker.dead
+        )
+
+    def machines_of(self, job: str) -> set[str]:
+        return {
+            m
+            for task, places in self.checker.on.items()
+            if task.startswith(job + "/")
+            for m, _ in places
+        }
+
+    def status(self, job: str) -> str:
+        return self.checker.told.get(job, ("live", 0.0))[0]
--- /dev/null
+++ b/tests/test_random.py
@@ -0,0 +1,124 @@
+"""Seeded random faults against the checker of all rules; more seeds by BEAMSPAR_SEEDS."""
+
+from __future__ import annotations
+
+import os
+import random
+
+import pytest
+
+from tests.standins.world import ZONES, World
+
+SEEDS = range(int(os.environ.get("BEAMSPAR_SEEDS", "6")))
+ROUNDS = 14
+
+
+def fault(world: World, dice: random.Random) -> None:
+    """One trouble, alone or on top of those that still last."""
+    names = world.names
+    machines = [n for n, w in world.cloud.workers.items() if not w.dead]
+    machine = dice.choice(machines) if machines else None
+    later = world.clock.callLater
+    span = dice.choice([1.0, 5.0, 12.0, 25.0, 45.0])
+    kind = dice.randrange(10)
+    if kind == 0:
+        for name in dice.sample(names, dice.randint(1, len(names))):
+            world.crash(name, dice.choice([0.1, 1.0, 6.0, 40.0]))
+    elif kind == 1:
+        world.state.outage(True)
+        later(span, world.state.outage, False)
+    elif kind == 2 and machine:
+        world.cloud.workers[machine].die()
+    elif kind == 3 and machine:
+        worker = world.cloud.workers[machine]
+        worker.hung = True
+        later(span, setattr, worker, "hung", False)
+    elif kind == 4 and machine:
+        for name in names:
+            world.network.cut(name, machine, dice.choice(["drop", "hold"]), both=False)
+            later(span, world.network.heal, name, machine)
+    elif kind == 5:
+        node = dice.choice(names)
+        others = ["state", "cloud", *(n for n in names if n != node)]
+        mode = dice.choice(["drop", "hold"])
+        for other in dice.sample(others, dice.randint(1, len(others))):
+            world.network.cut(node, other, mode)
+            later(span, world.network.heal, node, other)
+    elif kind == 6 and machine:
+        for body in world.cloud.workers[machine].copies[-20:]:
+            later(dice.random() * span, world.call, dice.choice(names), "POST", "/v1/report", body)
+    elif kind == 7:
+        node = dice.choice(names)
+        mode = dice.choice(["drop", "hold"])
+        for other in machines:
+            if dice.random() < 0.5:
+                world.network.cut(node, other, mode)
+                later(span, world.network.heal, node, other)
+    elif kind == 8 and machine:
+        world.cloud.workers[machine].sick = dice.random() < 0.7
+    elif kind == 9:
+        world.cloud.down = not world.cloud.down
+
+
+def load(world: World, dice: random.Random, number: int) -> None:
+    job = f"j-{number}"
+    shape = dice.choice(["standing", "sweep", "sweep", "ensemble"])
+    world.submit(
+        job,
+        shape=shape,
+        parcels=dice.choice([1, 2, 3, 8, 70]) if shape == "sweep" else dice.randint(1, 4),
+        urgency=dice.choice(["critical", "normal", "low"]),
+        owner=dice.choice(["red", "blue"]),
+        cpus=float(dice.choice([1, 2, 4])),
+        run_s=dice.choice([1.0, 8.0, 20.0]),
+        size_gb=dice.choice([0.5, 8.0]),
+        crate=f"img-{dice.randrange(3)}",
+        scatter=shape == "standing" and dice.random() < 0.5,
+        together=dice.random() < 0.2,
+        standby=dice.random() < 0.5,
+        stamp_every_s=5.0 if shape == "sweep" else 0.0,
+        stamp_s=1.0,
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_faults(seed: int) -> None:
+    dice = random.Random(seed)
+    world = World(
+        seed,
+        teams=[{"name": "red", "cpus_max": 12.0}, {"name": "blue"}],
+        capacity=[
+            {"kind": "small", "zone": z, "spot": s, "count": 3} for z in ZONES for s in (0, 1)
+        ],
+        machines=[{"kind": k, "zone": z} for k in ("small", "small", "big") for z in ZONES]
+        + [{"kind": "small", "zone": "east", "spot": True}],
+    )
+    world.run(5)
+    jobs = 0
+    for _ in range(ROUNDS):
+        for _ in range(2):
+            jobs += 1
+            load(world, dice, jobs)
+        if dice.random() < 0.6:
+            fault(world, dice)
+        if dice.random() < 0.5:
+            world.withdraw(f"j-{dice.randint(1, jobs)}")
+        world.run(world.clock.seconds() + dice.choice([2.0, 7.0, 15.0]))
+    # All troubles end; what was accepted must be known and, if not withdrawn, live.
+    world.cloud.down = False
+    world.state.outage(False)
+    for pair in list(world.network.cuts):
+        world.network.heal(*pair)
+    for worker in world.cloud.workers.values():
+        worker.hung = worker.sick = False
+    world.run(world.clock.seconds() + 150)
+    assert world.checker.broken == []
+    assert world.checker.started
+    assert world.state.oversized == []
+    unfinished = [
+        job
+        for job, spec in world.checker.jobs.items()
+        if spec["shape"] == "sweep" and job in world.checker.accepted
+        and world.status(job) not in ("done", "withdrawn")
+    ]  # fmt: skip
+    assert unfinished == []
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,123 @@
+"""Runs every scenario file; a step is an action of World or an expectation."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from beamspar.wire import unpack
+from tests.standins.world import World
+
+FILES = sorted((Path(__file__).parent / "scenarios").glob("*.toml"))
+
+
+def victims(world: World, step: dict[str, Any]) -> list[str]:
+    """The machines a step speaks of: by name, or those a job is on."""
+    if "on" in step:
+        found = sorted(world.machines_of(step["on"]))
+        assert found, f"{step['on']} is on no machine"
+        return found
+    return [step["machine"]]
+
+
+def act(world: World, step: dict[str, Any]) -> None:
+    do = step["do"]
+    extra = {k: v for k, v in step.items() if k not in ("at", "do", "job", "node")}
+    if do == "submit":
+        world.submit(step["job"], step.get("node"), **extra)
+    elif do == "withdraw":
+        world.withdraw(step["job"], step.get("node"))
+    elif do == "crash":
+        for name in step["nodes"]:
+            world.crash(name, step.get("back_s"))
+    elif do == "state":
+        world.state.outage(step["down"])
+    elif do == "cloud":
+        world.cloud.down = step["down"]
+    elif do == "cut":
+        for one in step["one"]:
+            for other in step["other"]:
+                world.network.cut(one, other, step.get("mode", "drop"), step.get("both", True))
+    elif do == "heal":
+        for one in step["one"]:
+            for other in step["other"]:
+                world.network.heal(one, other)
+    elif do in ("die", "hang", "resume", "sick", "notice", "replay"):
+        for name in victims(world, step):
+            worker = world.cloud.workers[name]
+            if do == "die":
+                worker.die()
+            elif do == "notice":
+                worker.notice = 20.0
+                worker._changed()
+            elif do == "replay":
+                # Late copies of what the worker once reported, to every controller.
+                for body in worker.copies[:: step.get("every", 1)]:
+                    for node in world.names:
+                        world.call(node, "POST", "/v1/report", body)
+            else:
+                worker.hung = do == "hang"
+                worker.sick = do == "sick"
+    elif do == "blind":
+        # Reports arrive; answers and orders do not reach the machine.
+        for name in victims(world, step):
+            for node in world.names:
+                world.network.cut(node, name, "drop", both=False)
+    elif do == "call":
+        check_call(world, step)
+    elif do == "expect":
+        check(world, step)
+    else:
+        raise AssertionError(f"unknown step {do}")
+
+
+def check_call(world: World, step: dict[str, Any]) -> None:
+    body = step.get("body")
+    if "hex" in step:
+        body = bytes.fromhex(step["hex"])
+    got: list[Any] = []
+    node = step.get("node", world.names[0])
+    world.call(node, step["method"], step["path"], body).addCallback(got.append)
+    world.run(world.clock.seconds() + 1.0)
+    assert got, f"no answer to {step}"
+    assert got[0][0] == step["status"], (step, got)
+    if "says" in step:
+        assert step["says"] in str(got[0][1]), (step, got)
+
+
+def check(world: World, step: dict[str, Any]) -> None:
+    where = f"at {step['at']}"
+    if "running" in step:
+        assert world.running(step["job"]) == step["running"], (where, step)
+    if "status" in step:
+        assert world.status(step["job"]) == step["status"], (where, step)
+    if "machines" in step:
+        assert len(world.machines_of(step["job"])) == step["machines"], (where, step)
+    if "not_on" in step:
+        assert step["not_on"] not in world.machines_of(step["job"]), (where, step)
+    if "zones" in step:
+        zones = {world.checker.where[m][1] for m in world.machines_of(step["job"])}
+        assert len(zones) == step["zones"], (where, step, zones)
+    if "rented" in step:
+        assert len(world.cloud.machines) >= step["rented"], (where, len(world.cloud.machines))
+    if "gone" in step:
+        assert step["gone"] not in world.cloud.machines, (where, step)
+
+
+@pytest.mark.parametrize("path", FILES, ids=[f.stem for f in FILES])
+def test_scenario(path: Path) -> None:
+    scenario = tomllib.loads(path.read_text())
+    world = World(scenario.get("seed", 1), **scenario.get("world", {}))
+    for step in sorted(scenario["step"], key=lambda s: s["at"]):
+        world.run(step["at"])
+        act(world, step)
+    assert world.checker.started or scenario.get("idle"), "nothing ran"
+    assert world.checker.broken == []
+    assert world.state.oversized == []
+
+
+def test_unpack_is_used_for_bodies() -> None:
+    assert unpack(b"\x81\xa1a\x01") == {"a": 1}
