--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -112,8 +112,11 @@
         total = [sum(float(pair[i]) for pair in record.values()) for i in (0, 1)]
         want = []
         for i, limit in enumerate((team.cpus_max, team.gpus_max)):
-            slack = limit / self.nodes / 4 if total[i] < limit * 0.75 else 0.0
-            want.append(max(used[i], need[i]) + slack)
+            want.append(max(used[i], need[i]))
+            if total[i] < limit * 0.75:
+                # While there is plenty, some slack saves a write per task.
+                share = float(record.get(folio, (0.0, 0.0))[i])
+                want[i] = max(share, want[i] + limit / self.nodes / 4)
         return want[0], want[1]
 
     def _start(self, name: str) -> None:
@@ -131,9 +134,16 @@
             target = self._target(folio, team, record)
             rest = [sum(float(pair[i]) for f, pair in record.items() if f != folio) for i in (0, 1)]
             used = self.used.get((folio, name), (0.0, 0.0))
+            need = self.needed.get((folio, name), (0.0, 0.0))
+            room = (
+                team.cpus_max - rest[0] if team.cpus_max else target[0],
+                team.gpus_max - rest[1] if team.gpus_max else target[1],
+            )
+            # A part of what a task needs is of no use here, and may be elsewhere.
+            enough = need[0] <= room[0] + EPS and need[1] <= room[1] + EPS
             share = (
-                max(min(target[0], team.cpus_max - rest[0]), used[0]),
-                max(min(target[1], team.gpus_max - rest[1]), used[1]),
+                round(max(min(target[0], room[0]) if enough else 0.0, used[0]), 6),
+                round(max(min(target[1], room[1]) if enough else 0.0, used[1]), 6),
             )
             conditions.update(self.session.folio_fence(folio))
             if share == (0.0, 0.0):
@@ -144,8 +154,8 @@
             self.capped[(folio, name)] = share
         self.needed = {k: v for k, v in self.needed.items() if k[1] != name}
         try:
-            if record != self._record(name)[0]:
-                value = {f: list(pair) for f, pair in record.items()}
+            value = {f: list(pair) for f, pair in record.items()}
+            if value != {f: list(pair) for f, pair in self._record(name)[0].items()}:
                 revision = await self.state.multi(
                     conditions, [put(f"c/budget/{name}", value)], PLACE
                 )
