--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -88,6 +88,8 @@
 
     def tick(self) -> None:
         """Give back what lies unused, all of it when the limit is handed out."""
+        # A wish lasts one beat: a stale one would keep a share that nobody uses.
+        self.needed = {k: v for k, v in self.needed.items() if k[1] in self.busy}
         for name in self.teams:
             record, _ = self._record(name)
             if any(self._spare(folio, name, record) for folio in record if self._ours(folio)):
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -478,6 +478,9 @@
         except Conflict as error:
             job.dirty.update(numbers)
             log.info("{job}: write lost to {failed}", job=job.id, failed=error.failed)
+            if key not in error.failed:
+                # Fenced, or a chunk's late write: the mirror will tell, not haste.
+                await sleep(self.clock, self.timing.retry)
             await self._reread_all(job)
             return
         except (StateDown, NoLease) as error:
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -90,9 +90,7 @@
             name, _, query_text = path.partition("?")
             query = dict(p.partition("=")[::2] for p in query_text.split("&") if p)
             answered = ensureDeferred(_await(entry[1], Call(method, name, query, body or b"")))
-            answered.addCallback(
-                lambda answer: self.carry(target, source, lambda: settle(answer))
-            )
+            answered.addCallback(lambda answer: self.carry(target, source, lambda: settle(answer)))
             answered.addErrback(lambda _: self.carry(target, source, lambda: settle(None)))
 
         self.carry(source, target, arrive)
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -109,8 +109,10 @@
     def _answered(self, answer: Answer, sent: float, session: int) -> None:
         self.reporting = False
         data = unpack(answer.body) if answer.body else {}
-        if answer.status == 421 and data.get("dispatcher") in self.nodes and (
-            data["dispatcher"] != self.target
+        if (
+            answer.status == 421
+            and data.get("dispatcher") in self.nodes
+            and (data["dispatcher"] != self.target)
         ):
             self.target = data["dispatcher"]
             self.clock.callLater(0.2, self._report)
@@ -176,8 +178,8 @@
                 task.update(status="ended", why="no_room")
                 return
         self.checker.start(key[0], key[1], self.name)
-        wait = 0.0 if spec["crate"] in self.images else (
-            spec["size_gb"] / self.kind["fetch_gb_per_s"]
+        wait = (
+            0.0 if spec["crate"] in self.images else (spec["size_gb"] / self.kind["fetch_gb_per_s"])
         )
         self.clock.callLater(wait, self._run, key, task)
 
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -120,7 +120,12 @@
         self.network.generation[name] = self.network.generation.get(name, 0) + 1
         self.network.alive.discard(name)
         if back_s is not None:
-            self.clock.callLater(back_s, self.boot, name)
+            self.clock.callLater(back_s, self._back, name, self.network.generation[name])
+
+    def _back(self, name: str, generation: int) -> None:
+        """One process of a name at a time, however often it crashed meanwhile."""
+        if self.network.generation[name] == generation:
+            self.boot(name)
 
     def run(self, until: float) -> None:
         while self.clock.seconds() < until:
