--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -196,6 +196,7 @@
         self.per = records.chunk_size(settings.facts.state.value_kb)
         self.jobs: dict[str, Job] = {}
         self.arriving: dict[str, Job] = {}
+        self.doubtful: dict[str, Job] = {}
         self.clears: dict[tuple[str, str, int], tuple[str, int, float]] = {}
         self.folios: set[str] = set()
         # Until all jobs of a folio are in memory, what its tasks use is not known.
@@ -303,6 +304,7 @@
         self.jobs[job.id] = job
         if self.budget:
             self.budget.restore(job)
+        self._settled(job.id)
         return True
 
     async def accept(self, spec: Spec) -> bool:
@@ -328,10 +330,15 @@
                 conditions, [put(records.job_key(spec.id), job.record())], 1
             )
         except (Conflict, StateDown, NoLease) as error:
-            self._release(job)
-            if isinstance(error, InDoubt):
+            if not isinstance(error, InDoubt):
+                self._release(job)
+            else:
+                # It may be stored yet, places and all: what it uses stays counted,
+                # or a record that turns up late would go over the team's limit.
+                self.doubtful[spec.id] = job
                 spawn(self._settle(spec.id), "accept in doubt")
             raise
+        self._settled(spec.id)
         job.version = version
         job.dirty.discard(0)
         for index, task in job.tasks.items():
@@ -376,6 +383,12 @@
         except StateDown as error:
             log.info("adopting {job} waits: {error}", job=job_id, error=error)
 
+    def _settled(self, job_id: str) -> None:
+        """The job's record is known now; an accept in doubt counts no longer."""
+        doubtful = self.doubtful.pop(job_id, None)
+        if doubtful is not None:
+            self._release(doubtful)
+
     def _release(self, job: Job) -> None:
         if self.budget:
             for task in job.tasks.values():
@@ -774,7 +787,9 @@
             job.done_count = sum(len(done) for done in job.done.values())
             return job
         if job.status == LIVE:
-            if status.why in ("error", "no_room", "unknown", "in_use"):
+            # A gang that lost a member is stopped and tried again as a whole: without
+            # a pause it would be bound and refused as fast as records are written.
+            if job.spec.is_gang or status.why in ("error", "no_room", "unknown", "in_use"):
                 task.failures += 1
                 if status.why == "error":
                     task.avoid.add(status.machine)
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -133,6 +133,8 @@
             resumed: Deferred[None] = Deferred()
             self.clock.callLater(0.5, resumed.callback, None)
             await resumed
+        if self.dead:
+            return Answer(500)
         if call.path == "/orders":
             body = unpack(call.body)
             if body["baton"] < self.token or body["shift"] != self.session:
