--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -200,6 +200,9 @@
             return
         now = self.clock.seconds()
         if report.session > rig.session:
+            # A new session has its full lease, answered or not: after an outage the
+            # last answer may be long past while tasks of this session run.
+            rig.last_answer = now
             for key, start in list(rig.starts.items()):
                 if start.session < report.session:
                     # The session's end killed it, and orders of that session are void.
@@ -524,6 +527,9 @@
                 0.0 if before != report.session else self.timing.retry
             )
         self._absorb(rig, report)
+        if not rig.fresh:
+            # Not the word we wait for (a session that must end first): no haste.
+            rig.next_order = max(rig.next_order, self.clock.seconds() + self.timing.retry)
         if self.rigs.get(rig.machine.name) is rig:
             self.step(rig)
 
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -53,7 +53,9 @@
     def _lease(self) -> None:
         if self.dead:
             return
-        if not self.hung and self.clock.seconds() > self.leased_at + self.facts["lease_s"]:
+        # A hanging machine runs nothing, and may resume within its lease only: past it
+        # its tasks are gone, whenever it wakes to notice.
+        if self.clock.seconds() > self.leased_at + self.facts["lease_s"]:
             self._forget()
             self.session += 1
             self.leased_at = self.clock.seconds()
