--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -138,11 +138,17 @@
     async def _poll(self, job: str) -> Answer:
         if not JOB_ID.match(job):
             return reply(404, {"error": "no such job"})
+        asked = self.node.clock.seconds()
         try:
             found = await self._state_of(job)
         except StateDown as error:
             log.debug("poll of {job}: {error}", job=job, error=error)
             return busy()
+        late = self.node.clock.seconds() - asked > self.node.timing.beat * 2
+        if late and found and found["status"] not in (WITHDRAWN, records.DONE):
+            # The state service's word was held up on its way: others may have told
+            # the user of the job's end meanwhile, and this answer would be older.
+            return busy()
         return reply(404, {"error": "no such job"}) if found is None else reply(200, found)
 
     async def _state_of(self, job: str) -> dict[str, Any] | None:
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,114 @@
+"""The program itself: deploy file, flags, settings errors, and a start on loopback."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+import tomllib
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS = """
+member = "rig-0"
+public_addr = "127.0.0.1:{public}"
+peer_bind = "127.0.0.1:{peer}"
+[services]
+cloud = "127.0.0.1:{cloud}"
+state = "127.0.0.1:{state}"
+[facts]
+nodes = 1
+[facts.workers]
+report_s = 3.0
+lease_s = 17.0
+cancel_s = 47.0
+[facts.state]
+rps = 150.0
+write_rps = 60.0
+value_kb = 16.0
+txn_ops = 24
+[facts.cloud]
+rps = 1.5
+list_lag_s = 8.0
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for s in sockets:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def run_line() -> list[str]:
+    deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
+    return [sys.executable, *deploy["run"].split()[1:]]
+
+
+@pytest.fixture(scope="module", autouse=True)
+def built() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
+    subprocess.run(["bash", "-c", deploy["build"]], cwd=ROOT, check=True)
+
+
+def settings_file(path: Path, text: str = SETTINGS) -> Path:
+    public, peer, cloud, state = free_ports(4)
+    file = path / "settings.toml"
+    file.write_text(text.format(public=public, peer=peer, cloud=cloud, state=state))
+    return file
+
+
+def test_deploy_lines_start_the_service(tmp_path: Path) -> None:
+    file = settings_file(tmp_path)
+    address = tomllib.loads(file.read_text())["public_addr"]
+    process = subprocess.Popen(
+        [*run_line(), str(file)], cwd=ROOT, stderr=subprocess.PIPE, text=True
+    )
+    try:
+        assert process.stderr is not None
+        for line in process.stderr:
+            if "listens" in line:
+                break
+        # Without a state service it answers, and says that it can't take requests.
+        with pytest.raises(urllib.error.HTTPError) as error:
+            urllib.request.urlopen(f"http://{address}/up", timeout=30)
+        assert error.value.code == 503
+        assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("member = ", "not TOML"),
+        ("member = 'x'\n", "public_addr"),
+        (SETTINGS.replace("127.0.0.1:{state}", "nowhere"), "services.state"),
+        (SETTINGS.replace("lease_s = 17.0", "lease_s = 90.0"), "cancel_s"),
+    ],
+)
+def test_bad_settings_are_one_clear_line(tmp_path: Path, text: str, says: str) -> None:
+    file = settings_file(tmp_path, text)
+    done = subprocess.run([*run_line(), str(file)], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 2
+    assert says in done.stderr
+    assert len(done.stderr.strip().splitlines()) == 1
+
+
+def test_missing_settings_and_check(tmp_path: Path) -> None:
+    missing = [*run_line(), str(tmp_path / "none.toml")]
+    assert subprocess.run(missing, cwd=ROOT, capture_output=True).returncode == 2
+    file = settings_file(tmp_path)
+    check = subprocess.run(
+        [*run_line(), str(file), "--check"], cwd=ROOT, capture_output=True, text=True
+    )
+    assert check.returncode == 0
+    assert "in order" in check.stdout
