--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -163,19 +163,16 @@
                 )
                 self.session.learn(f"c/budget/{name}", value, revision)
                 log.info("team {team}: shares {value}", team=name, value=value)
-            for folio in folios:
-                self.capped.pop((folio, name), None)
-        except Conflict:
-            for folio in folios:
-                self.capped.pop((folio, name), None)
         except InDoubt as error:
+            # It may be applied yet: the caps stay until a later write is known.
             log.info("budget in doubt: {error}", error=error)
-        except (StateDown, NoLease) as error:
+            return
+        except (Conflict, StateDown, NoLease) as error:
             log.info("budget waits: {error}", error=error)
-            for folio in folios:
-                self.capped.pop((folio, name), None)
         finally:
             self.busy.discard(name)
+        for folio in folios:
+            self.capped.pop((folio, name), None)
 
 
 def _within(amount: float, share: float, limit: float) -> bool:
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -72,7 +72,6 @@
         self.min_session = 0
         self.notice_s: float | None = None
         self.lost = False
-        self.retired = False
         self.ordering = False
         self.failed_orders = 0
         self.next_order = now
@@ -188,7 +187,7 @@
         rig.report_seq = (report.session, report.seq)
         rig.last_answer = self.clock.seconds()
         self._absorb(rig, report)
-        commands = [c for c in self._commands(rig) if c["verb"] != "start"]
+        commands = self._commands(rig)
         self.step(rig)
         return commands if rig.failed_orders else []
 
@@ -339,7 +338,6 @@
         return (
             rig.fresh
             and not rig.lost
-            and not rig.retired
             and rig.notice_s is None
             and rig.sick_until <= self.clock.seconds()
         )
@@ -411,7 +409,7 @@
                 grace = want.save_s * 1.5 if want.saves else 0.0
             elif key in rig.evicted:
                 grace = rig.evicted[key]
-            elif want is not None and (rig.notice_s is not None or rig.retired):
+            elif want is not None and rig.notice_s is not None:
                 # The machine is about to go: save what can be saved, go on elsewhere.
                 grace = want.save_s * 1.5 if want.saves else 0.0
             else:
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -16,7 +16,7 @@
 from beamspar.cloud import CloudDown, NoCapacity
 from beamspar.control.fleet import Fleet
 from beamspar.control.messages import Ask, Directions, Offers, Placed, Summary, View
-from beamspar.control.session import LEADER, Machine, Session
+from beamspar.control.session import LEADER, Machine, Session, block_record
 from beamspar.http import Clock, spawn
 from beamspar.placement import Room, choose, choose_eviction, choose_group
 from beamspar.settings import Settings, Timing, Tuning
@@ -187,11 +187,7 @@
                     zone = block.machines[0].zone if block.machines else ""
                     heir = self._pick_holder(zone, counts)
                     counts[heir] += len(block.machines)
-                    value = {
-                        "holder": heir,
-                        "inc": self._inc(heir),
-                        "machines": msgspec.to_builtins(block.machines),
-                    }
+                    value = block_record(heir, self._inc(heir), block.machines)
                     changes.append((f"c/block/{name}", value))
             await self._write(changes, terms)
 
@@ -237,11 +233,7 @@
                 part = machines[low : low + size]
                 holder = self._pick_holder(zone, counts)
                 counts[holder] += len(part)
-                value = {
-                    "holder": holder,
-                    "inc": self._inc(holder),
-                    "machines": msgspec.to_builtins(part),
-                }
+                value = block_record(holder, self._inc(holder), part)
                 changes.append((f"c/block/{part[0].name}", value))
                 log.info(
                     "leasing {names} ({kind}, {zone}) to {holder}",
@@ -260,11 +252,7 @@
             if len(left) == len(block.machines):
                 continue
             if left:
-                value = {
-                    "holder": block.holder,
-                    "inc": block.inc,
-                    "machines": msgspec.to_builtins(left),
-                }
+                value = block_record(block.holder, block.inc, left)
                 changes.append((f"c/block/{name}", value))
             else:
                 changes.append((f"c/block/{name}", None))
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -110,13 +110,10 @@
 
 
 class Directions(msgspec.Struct):
-    """The leader's answer to a heartbeat: level-triggered, repeated until done."""
+    """The leader's answer to a heartbeat."""
 
     leading: bool
     ready: bool = False
-    gone: list[str] = []
-    retire: list[str] = []
-    give: dict[str, str] = {}
 
 
 class Nudge(msgspec.Struct):
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -32,7 +32,7 @@
     encode,
 )
 from beamspar.control.owner import Owner
-from beamspar.control.session import Machine, Session
+from beamspar.control.session import Machine, Session, block_record
 from beamspar.http import Answer, Call, CallFailed, Clock, Net, sleep, spawn
 from beamspar.settings import Settings, Timing, Tuning
 from beamspar.state import URGENT, Conflict, NoLease, StateClient, StateDown, put
@@ -139,12 +139,7 @@
             for name, block in part.items():
                 key = f"c/block/{name}"
                 conditions[key] = block.number
-                value = {
-                    "holder": session.me,
-                    "inc": session.inc,
-                    "machines": msgspec.to_builtins(block.machines),
-                }
-                changes.append(put(key, value))
+                changes.append(put(key, block_record(session.me, session.inc, block.machines)))
             try:
                 revision = await self.state.multi(conditions, changes, URGENT)
             except (Conflict, StateDown, NoLease) as error:
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -96,7 +96,6 @@
         self.dirty: set[int] = set()
         self.writing = False
         self.since = now
-        self.retry_at = 0.0
         self.stamp = ""
 
     @property
@@ -584,7 +583,7 @@
     async def _pump(self) -> None:
         try:
             now = self.clock.seconds()
-            jobs = [j for j in self.jobs.values() if j.retry_at <= now and j.waiting(now, 1)]
+            jobs = [j for j in self.jobs.values() if j.waiting(now, 1)]
             if jobs and self.session.valid():
                 jobs.sort(key=lambda j: (j.spec.rank, j.since))
                 await self._place(jobs[:64])
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -51,6 +51,11 @@
     number: int = 0
 
 
+def block_record(holder: str, inc: int, machines: list[Machine]) -> dict[str, Any]:
+    """What a block's key stores; its number is the revision of the write."""
+    return {"holder": holder, "inc": inc, "machines": msgspec.to_builtins(machines)}
+
+
 class Folio(msgspec.Struct):
     """The jobs that one incarnation accepted; they change owner together."""
 
@@ -68,7 +73,6 @@
         self.state = state
         self.timing = timing
         self.me = settings.member
-        self.peer_names = {s.member for s in settings.siblings} | {self.me}
         self.inc = 0
         self.permit = 0
         self.fence_version = 0
@@ -117,13 +121,6 @@
         block = self.blocks.get(self.block_of.get(machine, ""))
         return (block.holder, block.number) if block else None
 
-    def machine(self, name: str) -> Machine | None:
-        block = self.blocks.get(self.block_of.get(name, ""))
-        for machine in block.machines if block else ():
-            if machine.name == name:
-                return machine
-        return None
-
     def _lose(self, why: str) -> None:
         if not self.lost:
             self.lost = True
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -117,7 +117,6 @@
         self.retry = w.report_s / 6
         self.call = w.report_s / 2
         self.order = w.report_s * 0.67
-        self.poll = w.report_s / 2
         self.silent = w.report_s * 2.5
 
 
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -90,13 +90,8 @@
         self.queue: list[tuple[int, int, int, Deferred[None]]] = []
         self.turn = 0
         self.timer: Any = None
-        self.last_ok = clock.seconds()
         self.failing_since: float | None = None
 
-    @property
-    def backlog(self) -> int:
-        return len(self.queue)
-
     def _admit(self, priority: int, changes: int) -> Deferred[None]:
         ready: Deferred[None] = Deferred()
         self.turn += 1
@@ -128,7 +123,6 @@
     def _note(self, ok: bool) -> None:
         now = self.clock.seconds()
         if ok:
-            self.last_ok = now
             self.failing_since = None
         elif self.failing_since is None:
             self.failing_since = now
