--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -9,7 +9,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from beamspar.http import Answer, CallFailed, Clock, Net
+from beamspar.http import Answer, CallFailed, Clock, Net, sleep
 from beamspar.settings import Settings, Timing
 from beamspar.wire import pack, unpack
 
@@ -228,7 +228,7 @@
         }
         if changes:
             body["apply"] = changes
-        for patience in (2, 1, 0):
+        for patience in (5, 4, 3, 2, 1, 0):
             await self._admit(priority, len(changes), weight)
             try:
                 status, data = await self._call(
@@ -236,10 +236,13 @@
                 )
                 break
             except Crowded:
-                # It was not executed, so it goes back into the queue.
+                # It was not executed, so it goes back into the queue. What is urgent does
+                # not wait there: at once, it would be refused again until it gives up.
                 self.changes.refused()
                 if not patience:
                     raise
+                if priority == URGENT:
+                    await sleep(self.clock, (len(changes) + 1) / self.facts.write_rps)
         if status == 409:
             failed = data.get("failed")
             raise Conflict([k for k in failed if isinstance(k, str)] if failed else [])
