--- a/src/beamspar/cli.py
+++ b/src/beamspar/cli.py
@@ -46,13 +46,14 @@
     from twisted.internet import reactor as installed
 
     from beamspar.control.node import Node
-    from beamspar.http import RealNet, spawn
+    from beamspar.http import RealNet, Sockets, spawn
     from beamspar.settings import Timing
 
     start_log(os.environ.get("LOG_LEVEL", "info"))
     timing = Timing(settings, tuning)
     reactor: Any = installed
-    net = RealNet(reactor, timing.call)
+    sockets = Sockets.of(settings.facts.limits.sockets, settings.facts.nodes)
+    net = RealNet(reactor, timing.call, timing.keep_open, sockets)
     node = Node(reactor, net, settings, tuning, random.Random())
     reactor.callWhenRunning(spawn, node.start(), "start")
     reactor.run()
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -37,7 +37,7 @@
 )
 from beamspar.control.owner import Owner
 from beamspar.control.session import Machine, Session
-from beamspar.http import Answer, Call, CallFailed, Clock, Net, sleep, spawn
+from beamspar.http import Answer, Call, CallFailed, Clock, Net, Sockets, sleep, spawn
 from beamspar.placement import Taste, slow_kinds
 from beamspar.settings import Settings, Timing, Tuning
 from beamspar.state import Conflict, NoLease, StateClient, StateDown, put
@@ -96,13 +96,13 @@
 
     async def start(self) -> None:
         """Listen first, so that workers and siblings are answered; then register."""
-        sockets = self.settings.facts.limits.sockets
+        sockets = Sockets.of(self.settings.facts.limits.sockets, self.settings.facts.nodes)
         await self.net.listen(
-            self.settings.public_addr, self.api.handle, sockets * 6 // 10, BODY_LIMIT
+            self.settings.public_addr, self.api.handle, sockets.public, BODY_LIMIT
         )
         # A controller that holds most of a large fleet tells more at first contact than
         # users and workers may send.
-        await self.net.listen(self.settings.peer_bind, self.peer, sockets // 10, PEER_LIMIT)
+        await self.net.listen(self.settings.peer_bind, self.peer, sockets.peers, PEER_LIMIT)
         log.info("{me} listens", me=self.settings.member)
         spawn(self._fetch_types(), "machine types")
         spawn(self._stand(), "standing")
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -4,13 +4,13 @@
 
 from typing import Any
 
-from twisted.internet.task import Clock
+from tests.standins.clock import SimClock
 
 FINAL = ("done", "withdrawn")
 
 
 class Checker:
-    def __init__(self, clock: Clock, cancel_s: float, limits: dict[str, tuple[float, float]]):
+    def __init__(self, clock: SimClock, cancel_s: float, limits: dict[str, tuple[float, float]]):
         self.clock = clock
         self.cancel_s = cancel_s
         self.limits = limits
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -7,15 +7,15 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import Clock
 
-from beamspar.http import Answer, Call, CallFailed, Handler
+from beamspar.http import Answer, Call, CallFailed, Gates, Handler, lasting
+from tests.standins.clock import SimClock
 
 
 class Network:
     """Carries calls between named hosts. A cut drops, or holds until it ends."""
 
-    def __init__(self, clock: Clock, dice: random.Random, latency: float = 0.003) -> None:
+    def __init__(self, clock: SimClock, dice: random.Random, latency: float = 0.003) -> None:
         self.clock = clock
         self.dice = dice
         self.latency = latency
@@ -26,6 +26,16 @@
         self.alive: set[str] = set()
         # Bytes that controllers told each other.
         self.peer_bytes = 0
+        # Per address that bounds them: the most connections, and those open, by who came.
+        self.most: dict[str, int] = {}
+        self.doors: dict[str, dict[str, bool]] = {}
+        self.bounded: dict[str, set[str]] = {}
+        # Calls of a host that are under way, what a host may have open, and had at most.
+        self.calling: dict[str, int] = {}
+        self.limits: dict[str, int] = {}
+        self.peaks: dict[str, int] = {}
+        self.turned_away = 0
+        self.visitors = 0
 
     def serve(self, host: str, address: str, handler: Handler) -> None:
         self.handlers[address] = (host, handler)
@@ -44,6 +54,38 @@
         for _, _, deliver in ready:
             self.clock.callLater(self._delay(), deliver)
 
+    def sockets(self, host: str) -> int:
+        """What is open at a host: connections that came in, and calls under way."""
+        came = sum(len(self.doors[address]) for address in self.bounded.get(host, ()))
+        return came + self.calling.get(host, 0)
+
+    def bound(self, host: str, address: str, most: int) -> None:
+        """From now on so many connections may be open at the address."""
+        self.most[address], self.doors[address] = most, {}
+        self.bounded.setdefault(host, set()).add(address)
+
+    def _enter(self, source: str, address: str) -> str | None:
+        """The connection to use: an open one or a new one; None when turned away."""
+        most, doors = self.most.get(address), self.doors.setdefault(address, {})
+        if most is None:
+            return ""
+        # Users are many and each has a connection of its own.
+        self.visitors += 1
+        name = source if source != "users" else f"users {self.visitors}"
+        if name in doors:
+            return name
+        host = self.handlers[address][0]
+        if len(doors) >= most or self.sockets(host) >= self.limits.get(host, 1 << 30):
+            self.turned_away += 1
+            return None
+        doors[name] = source != "users" and lasting(len(doors), most)
+        self.peaks[host] = max(self.peaks.get(host, 0), self.sockets(host))
+        return name
+
+    def _leave(self, name: str, address: str) -> None:
+        if not self.doors.get(address, {}).get(name, True):
+            del self.doors[address][name]
+
     def _delay(self) -> float:
         return self.latency * (0.5 + self.dice.random())
 
@@ -68,11 +110,14 @@
         result: Deferred[Answer] = Deferred()
         settled: list[bool] = []
         born = self.generation.get(source, 0)
+        self.calling[source] = self.calling.get(source, 0) + 1
+        self.peaks[source] = max(self.peaks.get(source, 0), self.sockets(source))
 
         def settle(answer: Answer | None) -> None:
             if settled or self.generation.get(source, 0) != born:
                 return
             settled.append(True)
+            self.calling[source] -= 1
             if timer.active():
                 timer.cancel()
             if answer is None:
@@ -91,9 +136,14 @@
             entry = self.handlers.get(address)
             if entry is None or target not in self.alive:
                 return
+            door = self._enter(source, address)
+            if door is None:
+                self.carry(target, source, lambda: settle(None))
+                return
             name, _, query_text = path.partition("?")
             query = dict(p.partition("=")[::2] for p in query_text.split("&") if p)
             answered = ensureDeferred(_await(entry[1], Call(method, name, query, body or b"")))
+            answered.addBoth(lambda result: (self._leave(door, address), result)[1])
             answered.addCallback(lambda answer: self.carry(target, source, lambda: settle(answer)))
             answered.addErrback(lambda _: self.carry(target, source, lambda: settle(None)))
 
@@ -108,9 +158,10 @@
 class HostNet:
     """Net as one process sees it; a restarted process gets a new one."""
 
-    def __init__(self, network: Network, host: str) -> None:
+    def __init__(self, network: Network, host: str, gates: Gates) -> None:
         self.network = network
         self.host = host
+        self.gates = gates
         self.born = network.generation.get(host, 0)
 
     def request(
@@ -118,7 +169,11 @@
     ) -> Deferred[Answer]:
         if self.network.generation.get(self.host, 0) != self.born:
             return Deferred()
-        return self.network.request(self.host, method, address, path, body, limit_s)
+
+        async def call() -> Answer:
+            return await self.network.request(self.host, method, address, path, body, limit_s)
+
+        return ensureDeferred(self.gates.through(path, call))
 
     def listen(self, address: str, handler: Handler, most: int, limit: int) -> Deferred[Any]:
         assert most > 0
@@ -127,6 +182,7 @@
             return Answer(400) if len(call.body) > limit else await handler(call)
 
         self.network.serve(self.host, address, limited)
+        self.network.bound(self.host, address, most)
         done: Deferred[Any] = Deferred()
         done.callback(None)
         return done
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -4,15 +4,16 @@
 
 from typing import Any
 
+from msgspec import json
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
 
 from beamspar.http import Answer, Call
 from beamspar.wire import pack, unpack
+from tests.standins.clock import SimClock
 
 
 class StateStandin:
-    def __init__(self, clock: Clock, txn_ops: int, value_kb: float) -> None:
+    def __init__(self, clock: SimClock, txn_ops: int, value_kb: float) -> None:
         self.clock = clock
         self.txn_ops = txn_ops
         self.value_kb = value_kb
@@ -140,6 +141,8 @@
         changes = body.get("apply", [])
         assert len(changes) <= self.txn_ops, "too many changes in a transaction"
         assert len(body["if"]) <= self.txn_ops * 4, "too many conditions in a transaction"
+        if len(json.encode(body)) > 64 * 1024:
+            self.oversized.append("a transaction")
         for change in changes:
             if "put" in change and len(pack(change["data"])) > self.value_kb * 1024:
                 self.oversized.append(change["put"])
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock
 
 from beamspar.http import Answer, Call
 from beamspar.wire import pack, unpack
 from tests.standins.checker import Checker
+from tests.standins.clock import SimClock
 from tests.standins.net import Network
 
 
@@ -18,7 +18,7 @@
     """One machine's worker: keeps the token rules, the lease and its tasks."""
 
     def __init__(
-        self, clock: Clock, network: Network, checker: Checker, dice: random.Random,
+        self, clock: SimClock, network: Network, checker: Checker, dice: random.Random,
         name: str, kind: dict[str, Any], zone: str, spot: bool, facts: dict[str, Any],
         nodes: dict[str, str],
     ) -> None:  # fmt: skip
@@ -216,7 +216,7 @@
 
 
 class CloudStandin:
-    def __init__(self, clock: Clock, types: list[dict[str, Any]], make: Any) -> None:
+    def __init__(self, clock: SimClock, types: list[dict[str, Any]], make: Any) -> None:
         self.clock = clock
         self.types = types
         self.make = make
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -6,10 +6,9 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import Clock
 
 from beamspar.control.node import Node
-from beamspar.http import CallFailed
+from beamspar.http import CallFailed, Gates, Sockets
 from beamspar.settings import (
     CloudFacts,
     Facts,
@@ -25,6 +24,7 @@
 )
 from beamspar.wire import pack, unpack
 from tests.standins.checker import FINAL, Checker
+from tests.standins.clock import SimClock
 from tests.standins.net import HostClock, HostNet, Network
 from tests.standins.state import StateStandin
 from tests.standins.workers import CloudStandin, Worker
@@ -46,7 +46,7 @@
 
 class World:
     def __init__(self, seed: int = 1, **options: Any) -> None:
-        self.clock = Clock()
+        self.clock = SimClock()
         self.dice = random.Random(seed)
         self.network = Network(self.clock, self.dice)
         self.workers_facts = {
@@ -74,7 +74,8 @@
                 Facts(
                     WorkerFacts(**self.workers_facts), StateFacts(**state), CloudFacts(3.0, 8.0),
                     count, ZONES, 0.0, [Team(**t) for t in teams],
-                    [Objective(**o) for o in options.get("objectives", [])], Limits(),
+                    [Objective(**o) for o in options.get("objectives", [])],
+                    Limits(**options.get("limits", {})),
                 ),
                 sites[i % len(sites)],
                 [Sibling(n, f"{n}:81", sites[j % len(sites)])
@@ -95,6 +96,7 @@
             for _ in range(m.get("count", 1)):
                 self.cloud.add(m["kind"], m["zone"], m.get("spot", False), 0.0)
         for name in self.names:
+            self.network.limits[name] = self.settings[name].facts.limits.sockets
             self.boot(name)
         self._sweep()
 
@@ -113,7 +115,9 @@
 
     def boot(self, name: str) -> None:
         self.network.alive.add(name)
-        net, clock = HostNet(self.network, name), HostClock(self.network, name)
+        facts = self.settings[name].facts
+        gates = Gates(Sockets.of(facts.limits.sockets, facts.nodes))
+        net, clock = HostNet(self.network, name, gates), HostClock(self.network, name)
         node = Node(clock, net, self.settings[name], self.tuning, random.Random(self.dice.random()))
         self.nodes[name] = node
         ensureDeferred(node.start())
@@ -121,6 +125,9 @@
     def crash(self, name: str, back_s: float | None = 6.0) -> None:
         self.network.generation[name] = self.network.generation.get(name, 0) + 1
         self.network.alive.discard(name)
+        self.network.calling[name] = 0
+        for address in (self.addresses[name], self.settings[name].peer_bind):
+            self.network.doors[address] = {}
         if back_s is not None:
             self.clock.callLater(back_s, self._back, name, self.network.generation[name])
 
@@ -130,8 +137,7 @@
             self.boot(name)
 
     def run(self, until: float) -> None:
-        while self.clock.seconds() < until:
-            self.clock.advance(0.005)
+        self.clock.advance_to(until)
 
     # -- users
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -177,6 +177,12 @@
         assert len(zones) == step["zones"], (where, step, zones)
     if "rented" in step:
         assert len(world.cloud.machines) >= step["rented"], (where, len(world.cloud.machines))
+    if "folios" in step:
+        folios = sorted(k for k in world.state.items if k.startswith("c/folio/"))
+        assert len(folios) <= step["folios"], (where, folios)
+        budgets = [v[0] for k, v in world.state.items.items() if k.startswith("c/budget/")]
+        spoken = {folio for record in budgets for folio in record}
+        assert {f"c/folio/{f}" for f in spoken} <= set(folios), (where, spoken, folios)
     if "rentals" in step:
         assert len(world.cloud.names) <= step["rentals"], (where, len(world.cloud.names))
     if "at_most" in step:
