Records stay within their limits: old folios go, transactions are cut to 64 KiB

Folios that are empty are dropped, their shares first; transactions are cut by size. Retry-After fits the backlog; caches follow the memory; idle machines go back by a share of the fleet.

--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
@@ -40,8 +41,8 @@
     return Answer(status, pack(data if data is not None else {}), headers)
 
 
-def busy() -> Answer:
-    return reply(503, {"error": "try again"}, 1)
+def busy(retry_s: float = 1.0) -> Answer:
+    return reply(503, {"error": "try again"}, max(math.ceil(retry_s), 1))
 
 
 class Api:
@@ -56,6 +57,8 @@
         self.submitting = 0
         # Small buffers: a share of the memory's worth of submissions in hand.
         self.most_submitting = max(int(node.settings.facts.limits.memory_mb / 2), 16)
+        # A record takes some 2 KB here: both caches together stay below a tenth of it.
+        self.most_cached = max(int(node.settings.facts.limits.memory_mb * 25), 1000)
 
     async def handle(self, call: Call, relayed: bool = False) -> Answer:
         parts = call.path.strip("/").split("/")
@@ -103,8 +106,10 @@
         if why:
             return await self._known_or(job, reply(422, {"error": why}))
         owner = self.node.owner
-        if owner is None or self.submitting >= self.most_submitting or job in owner.arriving:
+        if owner is None or job in owner.arriving:
             return busy()
+        if self.submitting >= self.most_submitting:
+            return busy(self.node.state.backlog_s())
         self.submitting += 1
         try:
             await owner.accept(spec)
@@ -211,7 +216,7 @@
     def _remember(self, cache: OrderedDict[str, Any], job: str, value: Any) -> None:
         cache[job] = value
         cache.move_to_end(job)
-        while len(cache) > 4000:
+        while len(cache) > self.most_cached:
             cache.popitem(last=False)
 
     def _check(self, job: str, version: int) -> Deferred[bool]:
--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -114,6 +114,10 @@
                 self.short.pop(key, None)
                 self.capped.pop(key, None)
 
+    def holds_none(self, folio: str) -> bool:
+        """Is the folio in no team's record, so that it may be forgotten?"""
+        return not any(folio in self._record(name)[0] for name in self.teams)
+
     def _changed(self, key: str) -> None:
         """Another took or gave back: what we lack may be there, or we may be asked for it."""
         name = key.removeprefix("c/budget/")
@@ -171,6 +175,10 @@
                     fit = min(fit, int((room[i] - need[i] + EPS) / size))
             need = [need[0] + max(fit, 0) * wish.cpus, need[1] + max(fit, 0) * wish.gpus]
             met = met and fit >= wish.tasks
+        if folio != self.session.folio and key not in self.short and max(used) <= EPS:
+            # A former self's folio takes no new jobs: when nothing of it uses anything
+            # its entry goes, or one more would stay with every restart.
+            return (0.0, 0.0)
         if met and not any(len(pair) > 2 for pair in others):
             # While there is plenty, some slack saves a write per task.
             wishing = bool(self.short.get(key))
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -11,9 +11,11 @@
 from typing import Any
 
 import msgspec
+import orjson
 from twisted.logger import Logger
 
 from beamspar.cloud import CloudDown, NoCapacity
+from beamspar.control import records
 from beamspar.control.fleet import Fleet
 from beamspar.control.messages import Ask, Directions, Lane, Offers, Placed, Summary, View
 from beamspar.control.session import LEADER, Block, Machine, Session, block_record
@@ -36,8 +38,8 @@
 
 # Bytes that one machine takes in a block's record, with room to spare.
 MACHINE_BYTES = 160
-# Idle machines that are on their way out at one time.
-RETIRE_AT_ONCE = 20
+# Idle machines that are on their way out at one time, as a share of the fleet.
+RETIRE_AT_ONCE = 1 / 15
 
 
 class Picture:
@@ -254,8 +256,14 @@
         return False
 
     async def _write(self, changes: list[tuple[str, Any]], terms: dict[str, int]) -> None:
-        most = self.settings.facts.state.txn_ops
         while changes:
+            most, size = 0, 0.0
+            for _, value in changes[: self.settings.facts.state.txn_ops]:
+                size += len(orjson.dumps(value)) / 1024
+                if most and size > records.TXN_KB * records.MARGIN:
+                    # Blocks of a very large fleet: more of them than one transaction holds.
+                    break
+                most += 1
             part, changes = changes[:most], changes[most:]
             conditions = dict(terms)
             for key, _ in part:
@@ -670,9 +678,10 @@
             self.fleet.take(spec, count * 2, rooms + spare)
         unused = {room.name for room in spare if room.cpus == whole[room.name]}
         self.retiring = {}
+        most = max(int(len(self.session.block_of) * RETIRE_AT_ONCE), 1)
         for idle_s, view in idle:
             held = self.session.holder_of(view.room.name)
             if held and view.room.name in unused and idle_s > self.timing.idle:
                 self.retiring[view.room.name] = held[0]
-                if len(self.retiring) >= RETIRE_AT_ONCE:
+                if len(self.retiring) >= most:
                     break
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -230,6 +230,7 @@
         self.ask: Callable[[list[Ask]], Deferred[list[Placed] | None]] | None = None
         self.send: Callable[[str, list[Sync]], Deferred[list[Status] | None]] | None = None
         self.budget: Any = None
+        self.dropping = False
         self.writes = 0
         session.listeners.append(self._changed)
 
@@ -538,8 +539,7 @@
             job.writing = False
 
     async def _store(self, job: Job) -> None:
-        most = self.settings.facts.state.txn_ops - 1
-        numbers = sorted(job.dirty)[:most]
+        numbers = sorted(job.dirty)[: records.chunks_at_once(self.settings.facts.state)]
         job.dirty.difference_update(numbers)
         job.stamp = self._stamp()
         marks: list[tuple[int, int, str | None]] = []
@@ -1056,10 +1056,37 @@
     def tick(self) -> None:
         for name in self.session.withdrawn & self.jobs.keys():
             self._heed(name)
+        self._drop_empty_folio()
         self.sync()
         self._release_vanished()
         self.pump()
 
+    def _drop_empty_folio(self) -> None:
+        """A former self's folio whose jobs are all over is of no use any more.
+
+        Nothing can be accepted into it: its incarnation is fenced out. Left, there would
+        be one more with every restart, in all that lists folios.
+        """
+        session = self.session
+        if self.dropping or not self.budget:
+            return
+        full = {job.folio for job in (*self.jobs.values(), *self.doubtful.values())}
+        for folio in sorted(self.loaded - full - {session.folio}):
+            if folio in session.folios and self.budget.holds_none(folio):
+                self.dropping = True
+                spawn(self._drop_folio(folio), "dropping a folio")
+                return
+
+    async def _drop_folio(self, folio: str) -> None:
+        try:
+            conditions = {**self.session.fence(), **self.session.folio_fence(folio)}
+            await self.state.multi(conditions, [drop(f"c/folio/{folio}")], CHORE)
+            log.info("folio {folio} is empty: dropped", folio=folio)
+        except (Conflict, StateDown, NoLease) as error:
+            log.info("dropping folio {folio} waits: {error}", folio=folio, error=error)
+        await sleep(self.clock, self.timing.repair)
+        self.dropping = False
+
     def _release_vanished(self) -> None:
         """A machine whose block record is gone was returned, with all that was on it."""
         changed: dict[str, Job] = {}
--- a/src/beamspar/control/records.py
+++ b/src/beamspar/control/records.py
@@ -12,12 +12,16 @@
 
 import msgspec
 
+from beamspar.settings import StateFacts
 from beamspar.state import ACCEPT, Item, StateClient
 from beamspar.wire import Spec
 
 LIVE, WITHDRAWN, DONE = "live", "withdrawn", "done"
 # Bytes that one task takes in a record at most, in JSON form, with room to spare.
 TASK_BYTES = 44
+# What a transaction may hold altogether (PROTOCOL), and the part of it that is used.
+TXN_KB = 64.0
+MARGIN = 0.75
 
 
 class Chunk(msgspec.Struct):
@@ -64,6 +68,12 @@
     return max(int(value_kb * 1024 / 2 / TASK_BYTES), 1)
 
 
+def chunks_at_once(facts: StateFacts) -> int:
+    """Chunks that fit into one transaction beside the job's own record."""
+    left = TXN_KB * MARGIN - facts.value_kb
+    return max(min(facts.txn_ops - 1, int(left / (facts.value_kb / 2))), 1)
+
+
 def ranges(indexes: list[int]) -> list[tuple[int, int]]:
     """Ascending indexes as inclusive ranges."""
     found: list[tuple[int, int]] = []
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -125,6 +125,10 @@
         self._pump()
         return ready
 
+    def backlog_s(self) -> float:
+        """How long the changes that wait here will take."""
+        return sum(changes for _, _, _, changes, _ in self.queue) / self.changes.rate
+
     def _pump(self) -> None:
         while self.queue:
             priority, _, _, changes, ready = self.queue[0]
