--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -49,6 +49,7 @@
         self.short: dict[Key, dict[str, Short]] = {}
         self.capped: dict[Key, Pair] = {}
         self.busy: set[str] = set()
+        self.soon: set[str] = set()
         self.loaded: Callable[[], set[str]] = set
         self.on_share: Callable[[], None] = lambda: None
         session.listeners.append(self._changed)
@@ -79,8 +80,7 @@
         known = wishes.get(job.id)
         count = max(count, known.tasks) if known else count
         wishes[job.id] = Short(spec.rank, job.since, spec.cpus, spec.gpus, count, until)
-        if self._due(team.name):
-            self._start(team.name)
+        self._soon(team.name)
         return False
 
     def take(self, job: Any) -> bool:
@@ -121,7 +121,19 @@
     def _changed(self, key: str) -> None:
         """Another took or gave back: what we lack may be there, or we may be asked for it."""
         name = key.removeprefix("c/budget/")
-        if key != name and name in self.teams and self._due(name):
+        if key != name and name in self.teams:
+            self._soon(name)
+
+    def _soon(self, name: str) -> None:
+        """Look at a team's record once for all wishes of this turn: each look goes through
+        all of them, and after a restart hundreds of jobs wish at once."""
+        if name not in self.soon:
+            self.soon.add(name)
+            self.session.clock.callLater(0, self._look, name)
+
+    def _look(self, name: str) -> None:
+        self.soon.discard(name)
+        if self._due(name):
             self._start(name)
 
     def tick(self) -> None:
