--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -24,6 +24,8 @@
         self.cuts: dict[tuple[str, str], str] = {}
         self.held: list[tuple[str, str, Callable[[], None]]] = []
         self.alive: set[str] = set()
+        # Until when a host stands still while its clock runs on.
+        self.frozen: dict[str, float] = {}
         # Bytes that controllers told each other.
         self.peer_bytes = 0
         # Per address that bounds them: the most connections, and those open, by who came.
@@ -114,6 +116,11 @@
         self.peaks[source] = max(self.peaks.get(source, 0), self.sockets(source))
 
         def settle(answer: Answer | None) -> None:
+            still = self.frozen.get(source, 0.0) - self.clock.seconds()
+            if still > 0:
+                # What came meanwhile is read when it goes on, the time-out as well.
+                self.clock.callLater(still, settle, answer)
+                return
             if settled or self.generation.get(source, 0) != born:
                 return
             settled.append(True)
@@ -133,6 +140,10 @@
         target, _ = found
 
         def arrive() -> None:
+            still = self.frozen.get(target, 0.0) - self.clock.seconds()
+            if still > 0:
+                self.clock.callLater(still, arrive)
+                return
             entry = self.handlers.get(address)
             if entry is None or target not in self.alive:
                 return
@@ -200,8 +211,13 @@
         return float(self.network.clock.seconds())
 
     def callLater(self, delay: float, f: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
-        def run() -> None:
-            if self.network.generation.get(self.host, 0) == self.born:
-                f(*args)
+        return self.network.clock.callLater(max(delay, 0.0), self._run, f, args)
 
-        return self.network.clock.callLater(max(delay, 0.0), run)
+    def _run(self, f: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        if self.network.generation.get(self.host, 0) != self.born:
+            return
+        still = self.network.frozen.get(self.host, 0.0) - self.seconds()
+        if still > 0:
+            self.network.clock.callLater(still, self._run, f, args)
+        else:
+            f(*args)
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from msgspec import json
@@ -25,6 +26,11 @@
         self.watches: list[tuple[str, int, Deferred[Answer]]] = []
         self.down = False
         self.oversized: list[str] = []
+        # The share of transactions that get no answer and are carried out late, after newer
+        # ones; and how slowly all others are answered.
+        self.late_share = 0.0
+        self.slow_s = 0.0
+        self.dice = random.Random(1)
         self._expire()
 
     def outage(self, on: bool) -> None:
@@ -82,6 +88,13 @@
         if self.down and call.path != "/watch":
             return Answer(503)
         body = unpack(call.body) if call.body else {}
+        if call.path == "/multi" and self.dice.random() < self.late_share:
+            self.clock.callLater(2 + 10 * self.dice.random(), self._late, body)
+            return await Deferred()
+        if self.slow_s:
+            slow: Deferred[None] = Deferred()
+            self.clock.callLater(self.slow_s * self.dice.random(), slow.callback, None)
+            await slow
         if call.path.startswith("/store/"):
             item = self.items.get(call.path.removeprefix("/store/"))
             if item is None:
@@ -117,6 +130,12 @@
             return await self._watch(call.query)
         return Answer(400)
 
+    def _late(self, body: Any) -> None:
+        if self.down:
+            self.clock.callLater(1.0, self._late, body)
+        else:
+            self._multi(body)
+
     async def _watch(self, query: dict[str, str]) -> Answer:
         prefix, since = query["under"], int(query["since"])
         events = self._events(prefix, since)
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -20,7 +20,7 @@
     machine = dice.choice(machines) if machines else None
     later = world.clock.callLater
     span = dice.choice([1.0, 5.0, 12.0, 25.0, 45.0])
-    kind = dice.randrange(10)
+    kind = dice.randrange(14)
     if kind == 0:
         for name in dice.sample(names, dice.randint(1, len(names))):
             world.crash(name, dice.choice([0.1, 1.0, 6.0, 40.0]))
@@ -58,6 +58,23 @@
         world.cloud.workers[machine].sick = dice.random() < 0.7
     elif kind == 9:
         world.cloud.down = not world.cloud.down
+    elif kind == 10:
+        world.state.late_share = dice.choice([0.1, 0.4])
+        later(span, setattr, world.state, "late_share", 0.0)
+    elif kind == 11:
+        world.state.slow_s = dice.choice([0.3, 1.5])
+        later(span, setattr, world.state, "slow_s", 0.0)
+    elif kind == 12:
+        for name in dice.sample(names, dice.randint(1, len(names))):
+            world.network.frozen[name] = world.clock.seconds() + min(span, 25.0)
+    elif kind == 13:
+        for name in dice.sample(machines, len(machines) // 2):
+            worker = world.cloud.workers[name]
+            if dice.random() < 0.3:
+                worker.die()
+            else:
+                worker.hung = True
+                later(span, setattr, worker, "hung", False)
 
 
 def load(world: World, dice: random.Random, number: int) -> None:
@@ -120,6 +137,7 @@
     # All troubles end; what was accepted must be known and, if not withdrawn, live.
     world.cloud.down = False
     world.state.outage(False)
+    world.state.late_share = world.state.slow_s = 0.0
     for pair in list(world.network.cuts):
         world.network.heal(*pair)
     for worker in world.cloud.workers.values():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,6 +20,11 @@
         found = sorted(world.machines_of(step["on"]))
         assert found, f"{step['on']} is on no machine"
         return found
+    if "count" in step:
+        # Many at once, of one zone or of all.
+        names = [n for n, w in world.cloud.workers.items() if step.get("zone") in (None, w.zone)]
+        assert len(names) >= step["count"], (step, len(names))
+        return names[:: len(names) // step["count"]][: step["count"]]
     return [step["machine"]]
 
 
@@ -41,6 +46,12 @@
     elif do == "crash":
         for name in step["nodes"]:
             world.crash(name, step.get("back_s"))
+    elif do == "freeze":
+        for name in step["nodes"]:
+            world.network.frozen[name] = world.clock.seconds() + step["for_s"]
+    elif do == "state" and "down" not in step:
+        world.state.late_share = step.get("late_share", 0.0)
+        world.state.slow_s = step.get("slow_s", 0.0)
     elif do == "state":
         world.state.outage(step["down"])
     elif do == "cloud":
@@ -137,6 +148,11 @@
         short = {j: n for j in jobs if (n := world.running(j)) < world.checker.jobs[j]["parcels"]}
         assert len(jobs) >= step["all_running"], (where, len(jobs))
         assert len(short) <= step.get("but", 0), (where, len(short), sorted(short)[:5])
+    if step.get("started_once"):
+        jobs = [j for j in world.checker.accepted if j.startswith(step["job"])]
+        again = {j: world.checker.starts.get(j) for j in jobs}
+        wrong = {j: n for j, n in again.items() if n != world.checker.jobs[j]["parcels"]}
+        assert not wrong, (where, wrong)
     if "sockets" in step:
         assert max(world.network.peaks[n] for n in world.names) <= step["sockets"], (
             where,
