Lower work yields to its own team's higher work at the team's limit

A share's entry says the rank and the size of what lacks; owners of lower work stop a part of it, and what is freed is not taken by lower work again.

--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -21,6 +21,8 @@
 
 log = Logger(namespace="budget")
 EPS = 1e-6
+# Below every rank of work.
+LOWEST = 99
 Pair = tuple[float, float]
 Key = tuple[str, str]
 
@@ -73,7 +75,10 @@
         spec, key = job.spec, (job.folio, team.name)
         used, share = self.used.get(key, (0.0, 0.0)), self.share(*key)
         cpus, gpus = used[0] + spec.cpus, used[1] + spec.gpus
-        if _within(cpus, share[0], team.cpus_max) and _within(gpus, share[1], team.gpus_max):
+        fits = _within(cpus, share[0], team.cpus_max) and _within(gpus, share[1], team.gpus_max)
+        # What is freed for waiting higher work is not for lower work that asks first.
+        higher = any(wish.rank < spec.rank for wish in self.short.get(key, {}).values())
+        if fits and not higher and spec.rank < self._urgent(team.name, job.folio):
             return True
         until = self.session.clock.seconds() + self.session.timing.beat * 3
         wishes = self.short.setdefault(key, {})
@@ -114,6 +119,29 @@
                 self.short.pop(key, None)
                 self.capped.pop(key, None)
 
+    def _urgent(self, name: str, folio: str) -> int:
+        """The rank (from 1) of the highest work that another folio says it can't start."""
+        record, _ = self._record(name)
+        said = (int(p[2]) for f, p in record.items() if f != folio and len(p) > 2)
+        return min(said, default=LOWEST)
+
+    def yields(self, name: str, rank: int) -> Pair:
+        """What work of this rank should give up now, for higher work that the team's limit
+        keeps waiting, here or elsewhere. Each owner gives its part, round by round."""
+        team = self.teams.get(name)
+        if team is None:
+            return (0.0, 0.0)
+        record, _ = self._record(name)
+        lacking = [0.0, 0.0]
+        for pair in record.values():
+            if len(pair) > 4 and int(pair[2]) - 1 < rank:
+                lacking = [lacking[0] + float(pair[3]), lacking[1] + float(pair[4])]
+        # What nobody has taken yet will do for some of it.
+        for i, limit in enumerate((team.cpus_max, team.gpus_max)):
+            given = sum(float(pair[i]) for pair in record.values())
+            lacking[i] = max(lacking[i] - max(limit - given, 0.0), 0.0) if limit else 0.0
+        return lacking[0] / self.nodes, lacking[1] / self.nodes
+
     def holds_none(self, folio: str) -> bool:
         """Is the folio in no team's record, so that it may be forgotten?"""
         return not any(folio in self._record(name)[0] for name in self.teams)
@@ -165,7 +193,8 @@
         return folio in self.loaded()
 
     def _share(self, folio: str, team: Team, record: dict[str, Any]) -> tuple[float, ...]:
-        """What our folio's entry should be: its share, and 1 when it wants for more.
+        """What our folio's entry should be: its share; and when it wants for more, the rank
+        of the highest work that waits (from 1), and what that lacks.
 
         Nothing is given back while nobody wants for it, and all that lies unused as
         soon as somebody does. A wish that can't be met whole gets whole tasks: a part
@@ -179,14 +208,22 @@
             limit - sum(float(pair[i]) for pair in others) if limit else math.inf
             for i, limit in enumerate(limits)
         ]
-        need, met = list(used), True
+        need, met, first = list(used), True, 0
+        lacking = [0.0, 0.0]
+        urgent = self._urgent(team.name, folio)
         for wish in sorted(self.short.get(key, {}).values()):
-            fit = wish.tasks
+            # What lower work has yielded is not for other lower work to take again.
+            fit = wish.tasks if wish.rank < urgent else 0
             for i, size in enumerate((wish.cpus, wish.gpus)):
                 if size > 0 and room[i] < math.inf:
                     fit = min(fit, int((room[i] - need[i] + EPS) / size))
             need = [need[0] + max(fit, 0) * wish.cpus, need[1] + max(fit, 0) * wish.gpus]
-            met = met and fit >= wish.tasks
+            if fit < wish.tasks:
+                met = False
+                first = first or wish.rank + 1
+                if first == wish.rank + 1:
+                    left = wish.tasks - max(fit, 0)
+                    lacking = [lacking[0] + left * wish.cpus, lacking[1] + left * wish.gpus]
         if folio != self.session.folio and key not in self.short and max(used) <= EPS:
             # A former self's folio takes no new jobs: when nothing of it uses anything
             # its entry goes, or one more would stay with every restart.
@@ -198,7 +235,11 @@
                 slack = max(room[i] - need[i], 0.0) / self.nodes / 2 if limit and wishing else 0.0
                 need[i] = max(need[i] + slack, min(float(entry[i]), room[i]) if limit else 0.0)
         share = (round(max(need[0], used[0]), 6), round(max(need[1], used[1]), 6))
-        return share if met else (*share, 1)
+        if met:
+            return share
+        # Arrays start and end tasks all the time: a write for each would be too many.
+        said = [round(x, 3) if first == 1 else _rounded(x) for x in lacking]
+        return (*share, first, *said)
 
     def _start(self, name: str) -> None:
         if name not in self.busy and self.session.valid():
@@ -244,5 +285,10 @@
             self.on_share()
 
 
+def _rounded(amount: float) -> float:
+    """The next power of two."""
+    return float(1 << math.ceil(math.log2(amount))) if amount > 1 else math.ceil(amount)
+
+
 def _within(amount: float, share: float, limit: float) -> bool:
     return not limit or amount <= share + EPS
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -47,7 +47,7 @@
     put,
 )
 from beamspar.state import DONE as DONE_PRIORITY
-from beamspar.wire import Spec
+from beamspar.wire import PRIORITIES, Spec
 
 log = Logger(namespace="owner")
 
@@ -68,6 +68,7 @@
         "number",
         "state",
         "stored",
+        "yields",
     )
 
     def __init__(self, attempt: int = 0) -> None:
@@ -78,6 +79,8 @@
         self.number = 0
         self.evict = False
         self.failures = 0
+        # It is to stop, so that higher work of its team may run within the team's limit.
+        self.yields = False
         self.avoid: set[str] = set()
         self.not_before = 0.0
 
@@ -217,6 +220,7 @@
         # Until all jobs of a folio are in memory, what its tasks use is not known.
         self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
+        self.spot: set[str] = set()
         self.seq = 0
         self.pumping = False
         self.again = False
@@ -231,6 +235,7 @@
         self.send: Callable[[str, list[Sync]], Deferred[list[Status] | None]] | None = None
         self.budget: Any = None
         self.dropping = False
+        self.yielded_at = -1e9
         self.writes = 0
         session.listeners.append(self._changed)
 
@@ -257,6 +262,8 @@
             block = self.session.blocks.get(name)
             for machine in block.machines if block else ():
                 self.zones[machine.name] = machine.zone
+                if machine.spot:
+                    self.spot.add(machine.name)
                 if machine.name in self.on or machine.name in self.clears:
                     self._touch(machine.name)
         elif kind == "w":
@@ -839,7 +846,7 @@
         task = job.take(index)
         task.attempt += 1
         task.machine, task.stored, task.state = machine, False, ""
-        task.number, task.evict = 0, evict
+        task.number, task.evict, task.yields = 0, evict, False
         job.dirty.add(index // job.per)
         self._place_on(machine, job, index, task)
         self.untold[(job.id, index)] = (job, task)
@@ -1018,7 +1025,7 @@
                 # The room is spoken for at once: while the record was on its way, others
                 # used to take it, and the start was refused.
                 action = HOLD
-            elif job.status != LIVE or (spec.is_gang and job.again):
+            elif job.status != LIVE or task.yields or (spec.is_gang and job.again):
                 action = STOP
             else:
                 action = RUN
@@ -1057,10 +1064,50 @@
         for name in self.session.withdrawn & self.jobs.keys():
             self._heed(name)
         self._drop_empty_folio()
+        now = self.clock.seconds()
+        if self.budget and now - self.yielded_at >= self.timing.report:
+            self.yielded_at = now
+            self._yield()
         self.sync()
         self._release_vanished()
         self.pump()
 
+    def _yield(self) -> None:
+        """Higher work waits at its team's limit: lower work of the team makes room there.
+
+        Without this a large array that came first kept a team's critical services waiting
+        until it was done. The lowest goes first, then what is on ordinary machines, where
+        higher work can take its place, what saves, and the newest.
+        """
+        for team in sorted(self.budget.teams):
+            if not any(self.budget.yields(team, len(PRIORITIES))):
+                continue
+            lower = [
+                (-job.spec.rank, task.machine in self.spot, not job.spec.checkpoint_s, -job.since,
+                 job.id, index, job, task)
+                for job in self.jobs.values()
+                if job.spec.team == team and job.status == LIVE and job.spec.rank
+                for index, task in job.tasks.items()
+                if task.machine is not None and task.stored
+            ]  # fmt: skip
+            lacking = {r: self.budget.yields(team, r) for r in {-entry[0] for entry in lower}}
+            freed = [0.0, 0.0]
+            for entry in sorted(lower, key=lambda entry: entry[:6]):
+                index, job, task = entry[5:]
+                wanted = lacking[job.spec.rank]
+                if all(have + 1e-6 >= want for have, want in zip(freed, wanted, strict=True)):
+                    break
+                freed = [freed[0] + job.spec.cpus, freed[1] + job.spec.gpus]
+                if not task.yields and task.machine is not None:
+                    task.yields = True
+                    self._touch(task.machine)
+                    log.info(
+                        "{job}/{index} yields to higher work of {team}",
+                        job=job.id,
+                        index=index,
+                        team=team,
+                    )
+
     def _drop_empty_folio(self) -> None:
         """A former self's folio whose jobs are all over is of no use any more.
 
