Polls are gathered for longer before one comparison with the state service

Polls were compared in batches of 28 to 42 ms, that is a call to the state service for every one or two, with two wake-ups each. Now a quarter of a beat (0.13 to 0.21 s); an answer may lag 3 s, and users wait 2 s for one.

--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -225,7 +225,7 @@
         self.checks.setdefault(f"{records.job_key(job)}\n{version}", []).append(done)
         if not self.checking:
             self.checking = True
-            self.node.clock.callLater(self.node.timing.beat / 20, self._run_checks)
+            self.node.clock.callLater(self.node.timing.gather, self._run_checks)
         return done
 
     def _run_checks(self) -> None:
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -122,6 +122,9 @@
         self.lead = w.lease_s * 0.4
         self.hold = w.report_s * 0.67
         self.beat = w.report_s / 6
+        # How long polls are gathered for one comparison with the state service: a call for
+        # every other poll took more of processor and rate than all else.
+        self.gather = self.beat / 4
         # How long a task that no owner speaks for may stay so; and how often an owner
         # repeats all that it wants, though nothing seems to have been lost.
         self.stranger = w.report_s * 1.5
