An heir reads a dead one's jobs before questions about strangers

Until it does nobody speaks for its tasks, so holders asked the state service about each every 4.5 s, ahead of the reading; hundreds of them used up all of the rate, for good, and the machines, taken for idle, went back. Ruled out: sockets, the gathering of polls, folios dropped too early. Questions now go last, one at a time for each task, and reading goes with accepting.

--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -66,6 +66,8 @@
         self.tombs: dict[Key, str] = {}
         self.wants: dict[Key, Want] = {}
         self.strangers: dict[Key, float] = {}
+        # Those whose record is being asked for.
+        self.judged: set[Key] = set()
         self.doomed: set[Key] = set()
         self.evicted: dict[Key, float] = {}
         self.images: dict[str, float] = {}
@@ -674,13 +676,17 @@
             if key in rig.wants or key in rig.doomed:
                 continue
             since = rig.strangers.setdefault(key, now)
-            if now - since > self.timing.stranger:
+            if now - since > self.timing.stranger and key not in rig.judged:
                 rig.strangers[key] = now
                 spawn(self._judge(rig, key), "stranger")
 
     async def _judge(self, rig: Rig, key: Key) -> None:
         """A task that no owner speaks for: the stored record decides."""
-        bound = await self.verdict(key[0], key[1], rig.machine.name)
+        rig.judged.add(key)
+        try:
+            bound = await self.verdict(key[0], key[1], rig.machine.name)
+        finally:
+            rig.judged.discard(key)
         if bound is False and key in rig.tasks and key not in rig.wants:
             log.info("{rig}: {key} belongs to nobody", rig=rig.machine.name, key=key)
             rig.doomed.add(key)
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -36,6 +36,7 @@
 from beamspar.placement import Room, Taste, choose, choose_group
 from beamspar.settings import Settings, Timing
 from beamspar.state import (
+    ACCEPT,
     CHORE,
     PLACE,
     Conflict,
@@ -274,7 +275,7 @@
         while not self.session.lost:
             folios = set(self.folios)
             try:
-                items, _ = await self.state.scan("job/", PLACE)
+                items, _ = await self.state.scan("job/", ACCEPT)
                 for item in items:
                     record = records.read_job(item)
                     job_id = item.key.removeprefix("job/")
@@ -297,7 +298,7 @@
         job.version, job.status, job.stamp = version, record.status, record.stamp
         chunks = {0: record.chunk}
         if job.spec.tasks > self.per:
-            items, _ = await self.state.scan(f"task/{job.id}/", PLACE)
+            items, _ = await self.state.scan(f"task/{job.id}/", ACCEPT)
             for item in items:
                 number = int(item.key.rpartition("/")[2])
                 chunks[number] = msgspec.convert(item.value, Chunk)
--- a/src/beamspar/control/records.py
+++ b/src/beamspar/control/records.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from beamspar.settings import StateFacts
-from beamspar.state import ACCEPT, Item, StateClient
+from beamspar.state import CHORE, Item, StateClient
 from beamspar.wire import Spec
 
 LIVE, WITHDRAWN, DONE = "live", "withdrawn", "done"
@@ -101,11 +101,13 @@
     if not index_text.isdigit():
         return False
     index = int(index_text)
-    item = await state.get(job_key(job), ACCEPT)
+    # After a death there are hundreds to ask about, until an heir has read its jobs: ahead
+    # of that reading, they would keep it waiting for ever.
+    item = await state.get(job_key(job), CHORE)
     if item is None:
         return False
     chunk = read_job(item).chunk
     if index // per:
-        part = await state.get(chunk_key(job, index // per), ACCEPT)
+        part = await state.get(chunk_key(job, index // per), CHORE)
         chunk = msgspec.convert(part.value, Chunk) if part else Chunk()
     return (index, attempt, machine) in chunk.bound
