--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -195,7 +195,7 @@
             record = self._decode(item.value, JobRecord)
             self._remember(self.known, job, (item.version, record))
             owner = self.node.owner
-            if owner and record.folio in owner.folios and job not in owner.jobs:
+            if owner and record.partition in owner.partitions and job not in owner.jobs:
                 spawn(owner.adopt(job), f"adopting {job}")
             return self._current(job, record)
         self.known.pop(job, None)
@@ -296,9 +296,9 @@
         session = self.node.session
         if session:
             session.learn(records.mark_key(job), {"t": 1}, revision)
-            folio = session.folios.get(record.folio)
-            if folio and folio.owner != session.me:
-                spawn(self.node.tell(folio.owner, "nudge", Nudge(job)), "nudge")
+            partition = session.partitions.get(record.partition)
+            if partition and partition.owner != session.me:
+                spawn(self.node.tell(partition.owner, "nudge", Nudge(job)), "nudge")
         return True
 
     # -- reports
--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -1,8 +1,8 @@
 """Team limits across all controllers: shares in one record per team.
 
-`c/budget/<team>` lists what each folio may use; the shares never sum to more than
+`c/budget/<team>` lists what each partition may use; the shares never sum to more than
 the limit, whoever dies or lags, because every change of the record is a
-compare-and-set. A share moves with its folio, so a dead controller's use counts
+compare-and-set. A share moves with its partition, so a dead controller's use counts
 until its heir has proven its tasks gone.
 """
 
@@ -40,7 +40,7 @@
 
 
 class Budget:
-    """Owns what the tasks of our folios use; they count until proven gone."""
+    """Owns what the tasks of our partitions use; they count until proven gone."""
 
     def __init__(self, session: Session, state: StateClient, settings: Settings) -> None:
         self.session = session
@@ -60,9 +60,9 @@
         value, version = self.session.values.get(f"c/budget/{team}", ({}, 0))
         return (dict(value) if isinstance(value, dict) else {}), version
 
-    def share(self, folio: str, team: str) -> Pair:
-        entry = self._record(team)[0].get(folio, (0.0, 0.0))
-        low = self.capped.get((folio, team))
+    def share(self, partition: str, team: str) -> Pair:
+        entry = self._record(team)[0].get(partition, (0.0, 0.0))
+        low = self.capped.get((partition, team))
         return (min(entry[0], low[0]), min(entry[1], low[1])) if low else (entry[0], entry[1])
 
     def covers(self, job: Any, count: int = 1) -> bool:
@@ -70,15 +70,15 @@
         team = self.teams.get(job.spec.team)
         if team is None:
             return True
-        if not self._ours(job.folio):
+        if not self._ours(job.partition):
             return False
-        spec, key = job.spec, (job.folio, team.name)
+        spec, key = job.spec, (job.partition, team.name)
         used, share = self.used.get(key, (0.0, 0.0)), self.share(*key)
         cpus, gpus = used[0] + spec.cpus, used[1] + spec.gpus
         fits = _within(cpus, share[0], team.cpus_max) and _within(gpus, share[1], team.gpus_max)
         # What is freed for waiting higher work is not for lower work that asks first.
         higher = any(wish.rank < spec.rank for wish in self.short.get(key, {}).values())
-        if fits and not higher and spec.rank < self._urgent(team.name, job.folio):
+        if fits and not higher and spec.rank < self._urgent(team.name, job.partition):
             return True
         until = self.session.clock.seconds() + self.session.timing.beat * 3
         wishes = self.short.setdefault(key, {})
@@ -92,7 +92,7 @@
         if not self.covers(job):
             return False
         self.restore_one(job, 1)
-        wishes = self.short.get((job.folio, job.spec.team), {})
+        wishes = self.short.get((job.partition, job.spec.team), {})
         if job.id in wishes:
             wish = wishes.pop(job.id)
             if wish.tasks > 1:
@@ -107,22 +107,22 @@
 
     def restore_one(self, job: Any, count: int) -> None:
         if job.spec.team in self.teams:
-            key = (job.folio, job.spec.team)
+            key = (job.partition, job.spec.team)
             cpus, gpus = self.used.get(key, (0.0, 0.0))
             self.used[key] = (cpus + count * job.spec.cpus, gpus + count * job.spec.gpus)
 
-    def forget(self, folio: str) -> None:
-        """The folio has another owner now."""
+    def forget(self, partition: str) -> None:
+        """The partition has another owner now."""
         for key in {*self.used, *self.short, *self.capped}:
-            if key[0] == folio:
+            if key[0] == partition:
                 self.used.pop(key, None)
                 self.short.pop(key, None)
                 self.capped.pop(key, None)
 
-    def _urgent(self, name: str, folio: str) -> int:
-        """The rank (from 1) of the highest work that another folio says it can't start."""
+    def _urgent(self, name: str, partition: str) -> int:
+        """The rank (from 1) of the highest work that another partition says it can't start."""
         record, _ = self._record(name)
-        said = (int(p[2]) for f, p in record.items() if f != folio and len(p) > 2)
+        said = (int(p[2]) for f, p in record.items() if f != partition and len(p) > 2)
         return min(said, default=LOWEST)
 
     def yields(self, name: str, rank: int) -> Pair:
@@ -142,9 +142,9 @@
             lacking[i] = max(lacking[i] - max(limit - given, 0.0), 0.0) if limit else 0.0
         return lacking[0] / self.nodes, lacking[1] / self.nodes
 
-    def holds_none(self, folio: str) -> bool:
-        """Is the folio in no team's record, so that it may be forgotten?"""
-        return not any(folio in self._record(name)[0] for name in self.teams)
+    def holds_none(self, partition: str) -> bool:
+        """Is the partition in no team's record, so that it may be forgotten?"""
+        return not any(partition in self._record(name)[0] for name in self.teams)
 
     def _changed(self, key: str) -> None:
         """Another took or gave back: what we lack may be there, or we may be asked for it."""
@@ -179,30 +179,30 @@
     def _due(self, name: str) -> bool:
         record, _ = self._record(name)
         return any(
-            self._share(folio, self.teams[name], record) != tuple(record.get(folio, ()))
-            for folio in {*record, *(f for f, team in self.short if team == name)}
-            if self._ours(folio)
+            self._share(partition, self.teams[name], record) != tuple(record.get(partition, ()))
+            for partition in {*record, *(f for f, team in self.short if team == name)}
+            if self._ours(partition)
         )
 
-    def _ours(self, folio: str) -> bool:
+    def _ours(self, partition: str) -> bool:
         """Ours, and with all its jobs in memory: before that its use looks like none,
         and its share would be given away under tasks that still run."""
-        record = self.session.folios.get(folio)
+        record = self.session.partitions.get(partition)
         if record is None or record.owner != self.session.me:
             return False
-        return folio in self.loaded()
+        return partition in self.loaded()
 
-    def _share(self, folio: str, team: Team, record: dict[str, Any]) -> tuple[float, ...]:
-        """What our folio's entry should be: its share; and when it wants for more, the rank
+    def _share(self, partition: str, team: Team, record: dict[str, Any]) -> tuple[float, ...]:
+        """What our partition's entry should be: its share; and when it wants for more, the rank
         of the highest work that waits (from 1), and what that lacks.
 
         Nothing is given back while nobody wants for it, and all that lies unused as
         soon as somebody does. A wish that can't be met whole gets whole tasks: a part
         of a task is of no use here, and may be elsewhere.
         """
-        key = (folio, team.name)
-        used, entry = self.used.get(key, (0.0, 0.0)), record.get(folio, (0.0, 0.0))
-        others = [pair for f, pair in record.items() if f != folio]
+        key = (partition, team.name)
+        used, entry = self.used.get(key, (0.0, 0.0)), record.get(partition, (0.0, 0.0))
+        others = [pair for f, pair in record.items() if f != partition]
         limits = (team.cpus_max, team.gpus_max)
         room = [
             limit - sum(float(pair[i]) for pair in others) if limit else math.inf
@@ -210,7 +210,7 @@
         ]
         need, met, first = list(used), True, 0
         lacking = [0.0, 0.0]
-        urgent = self._urgent(team.name, folio)
+        urgent = self._urgent(team.name, partition)
         for wish in sorted(self.short.get(key, {}).values()):
             # What lower work has yielded is not for other lower work to take again.
             fit = wish.tasks if wish.rank < urgent else 0
@@ -224,8 +224,8 @@
                 if first == wish.rank + 1:
                     left = wish.tasks - max(fit, 0)
                     lacking = [lacking[0] + left * wish.cpus, lacking[1] + left * wish.gpus]
-        if folio != self.session.folio and key not in self.short and max(used) <= EPS:
-            # A former self's folio takes no new jobs: when nothing of it uses anything
+        if partition != self.session.partition and key not in self.short and max(used) <= EPS:
+            # A former self's partition takes no new jobs: when nothing of it uses anything
             # its entry goes, or one more would stay with every restart.
             return (0.0, 0.0)
         if met and not any(len(pair) > 2 for pair in others):
@@ -250,19 +250,19 @@
         """One compare-and-set of a team's record: our shares down or up to what we need."""
         team = self.teams[name]
         record, version = self._record(name)
-        folios = [
+        partitions = [
             f for f in {*record, *(f for f, t in self.short if t == name)} if self._ours(f)
         ]
         conditions = {**self.session.fence(), f"c/budget/{name}": version}
-        for folio in sorted(folios):
-            share = self._share(folio, team, record)
-            conditions.update(self.session.folio_fence(folio))
+        for partition in sorted(partitions):
+            share = self._share(partition, team, record)
+            conditions.update(self.session.partition_fence(partition))
             if share == (0.0, 0.0):
-                record.pop(folio, None)
+                record.pop(partition, None)
             else:
-                record[folio] = list(share)
+                record[partition] = list(share)
             # Until the write is known, the lower of both shares holds.
-            self.capped[(folio, name)] = (share[0], share[1])
+            self.capped[(partition, name)] = (share[0], share[1])
         changed = record != self._record(name)[0]
         try:
             if changed:
@@ -279,8 +279,8 @@
             log.info("budget waits: {error}", error=error)
         finally:
             self.busy.discard(name)
-        for folio in folios:
-            self.capped.pop((folio, name), None)
+        for partition in partitions:
+            self.capped.pop((partition, name), None)
         if changed and any(key[1] == name for key in self.short):
             self.on_share()
 
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -87,10 +87,10 @@
                     Booting(machine.kind, machine.zone, bool(machine.spot), since),
                 )
                 if machine.age_s > boot * 5:
-                    log.warn("{rig} never came up: returned", rig=machine.machine)
+                    log.warn("{machine} never came up: returned", machine=machine.machine)
                     self.give_back([machine.machine])
             elif machine.status == "failed":
-                log.info("{rig} has failed: returned", rig=machine.machine)
+                log.info("{machine} has failed: returned", machine=machine.machine)
                 self.give_back([machine.machine])
 
     def price(self, room: Room) -> float:
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -37,7 +37,7 @@
 
 Key = tuple[str, int]
 # Attempts that are over and remembered per machine.
-MOST_TOMBS = 400
+MOST_OVER = 400
 
 
 class Start:
@@ -51,11 +51,11 @@
         self.doubt = False
 
 
-class Rig:
+class HeldMachine:
     """What the holder knows of one machine under one number."""
 
-    def __init__(self, machine: Machine, number: int, now: float, answered: float) -> None:
-        self.machine = machine
+    def __init__(self, info: Machine, number: int, now: float, answered: float) -> None:
+        self.info = info
         self.number = number
         self.session = 0
         self.seq = -1
@@ -63,12 +63,12 @@
         self.fresh = False
         self.tasks: dict[Key, TaskReport] = {}
         self.starts: dict[Key, Start] = {}
-        self.tombs: dict[Key, str] = {}
+        self.over: dict[Key, str] = {}
         self.wants: dict[Key, Want] = {}
         self.strangers: dict[Key, float] = {}
         # Those whose record is being asked for.
         self.judged: set[Key] = set()
-        self.doomed: set[Key] = set()
+        self.unwanted: set[Key] = set()
         self.evicted: dict[Key, float] = {}
         self.images: dict[str, float] = {}
         # When somebody entitled may have answered its worker last.
@@ -85,7 +85,7 @@
         self.sick_until = 0.0
         self.bad = False
         self.told: dict[Key, tuple[Any, ...]] = {}
-        self.folio_of: dict[Key, str] = {}
+        self.partition_of: dict[Key, str] = {}
         # Nothing is due here before something changes: the beat passes it by.
         self.calm = False
         self.room: Room | None = None
@@ -107,7 +107,7 @@
 
     def live(self, key: Key) -> bool:
         """Does this attempt take room, now or as soon as it may?"""
-        if key in self.tombs:
+        if key in self.over:
             return False
         report = self.tasks.get(key)
         if report is not None:
@@ -134,9 +134,9 @@
         self.timing = timing
         self.types = types
         self.verdict = verdict
-        self.rigs: dict[str, Rig] = {}
+        self.machines: dict[str, HeldMachine] = {}
         self.streams: dict[str, tuple[int, int, int]] = {}
-        # Per folio and machine, what its owner wants there.
+        # Per partition and machine, what its owner wants there.
         self.stream_wants: dict[str, dict[str, dict[Key, Want]]] = {}
         self.owners: dict[str, str] = {}
         self.push: Callable[[str, list[Status]], None] = lambda owner, statuses: None
@@ -155,255 +155,269 @@
             self._adopt(key.removeprefix("c/block/"))
         elif key.startswith("c/w/"):
             job = key.removeprefix("c/w/")
-            for rig in self.rigs.values():
-                if any(task.startswith(job + "/") for task, _ in rig.tasks):
-                    self.step(rig)
+            for machine in self.machines.values():
+                if any(task.startswith(job + "/") for task, _ in machine.tasks):
+                    self.step(machine)
 
     def _adopt(self, block_name: str) -> None:
         block = self.session.blocks.get(block_name)
         now = self.clock.seconds()
         names = set()
         if block and block.holder == self.session.me and self.session.registered:
-            for machine in block.machines:
-                names.add(machine.name)
-                known = self.rigs.get(machine.name)
+            for info in block.machines:
+                names.add(info.name)
+                known = self.machines.get(info.name)
                 if known is None or known.number != block.number:
-                    since = self.session.silent_since(machine.name, block.live)
-                    rig = Rig(machine, block.number, now, since)
+                    since = self.session.silent_since(info.name, block.live)
+                    machine = HeldMachine(info, block.number, now, since)
                     if known is not None:
-                        rig.images = known.images
-                    self._recall(rig)
-                    self.rigs[machine.name] = rig
+                        machine.images = known.images
+                    self._recall(machine)
+                    self.machines[info.name] = machine
                     log.info(
-                        "holding {rig} ({kind}, {zone}) under {number}",
-                        rig=machine.name,
-                        kind=machine.kind,
-                        zone=machine.zone,
+                        "holding {machine} ({kind}, {zone}) under {number}",
+                        machine=info.name,
+                        kind=info.kind,
+                        zone=info.zone,
                         number=block.number,
                     )
-                    self._take_wants(rig)
-                    self.step(rig)
-        for name in [n for n in self.rigs if n not in names]:
+                    self._take_wants(machine)
+                    self.step(machine)
+        for name in [n for n in self.machines if n not in names]:
             held = self.session.holder_of(name)
-            if held is None or held != (self.session.me, self.rigs[name].number):
-                log.info("no longer holding {rig}", rig=name)
-                del self.rigs[name]
-
-    def _take_wants(self, rig: Rig) -> None:
-        for folio, machines in self.stream_wants.items():
-            for key, want in machines.get(rig.machine.name, {}).items():
-                if want.number == rig.number:
-                    rig.wants[key] = want
-                    rig.folio_of[key] = folio
-
-    def held(self, name: str) -> Rig | None:
+            if held is None or held != (self.session.me, self.machines[name].number):
+                log.info("no longer holding {machine}", machine=name)
+                del self.machines[name]
+
+    def _take_wants(self, machine: HeldMachine) -> None:
+        for partition, machines in self.stream_wants.items():
+            for key, want in machines.get(machine.info.name, {}).items():
+                if want.number == machine.number:
+                    machine.wants[key] = want
+                    machine.partition_of[key] = partition
+
+    def held(self, name: str) -> HeldMachine | None:
         """The machine, if this controller may act for it right now."""
-        rig = self.rigs.get(name)
-        if rig is None or not self.session.valid():
+        machine = self.machines.get(name)
+        if machine is None or not self.session.valid():
             return None
-        return rig if self.session.holder_of(name) == (self.session.me, rig.number) else None
+        return (
+            machine if self.session.holder_of(name) == (self.session.me, machine.number) else None
+        )
 
     # -- reports
 
     def report(self, report: Report) -> list[dict[str, Any]] | None:
         """Take in a worker's own report; the orders to answer with, None for 'not mine'."""
-        rig = self.held(report.machine)
-        if rig is None:
+        machine = self.held(report.machine)
+        if machine is None:
             return None
-        if (report.session, report.seq) <= rig.report_seq or report.session < rig.min_session:
+        if (
+            report.session,
+            report.seq,
+        ) <= machine.report_seq or report.session < machine.min_session:
             # A late copy: an answer would not reach the worker, and counting it as
             # answered would put off the proof that a silent worker's lease ran out.
-            log.info("{rig}: late copy of a report", rig=report.machine)
+            log.info("{machine}: late copy of a report", machine=report.machine)
             return None
-        if report.token > rig.number:
-            log.info("{rig} knows a higher number {n}", rig=report.machine, n=report.token)
+        if report.token > machine.number:
+            log.info("{machine} knows a higher number {n}", machine=report.machine, n=report.token)
             return None
-        rig.report_seq = (report.session, report.seq)
-        self._absorb(rig, report)
-        self._answered(rig)
-        commands = self._commands(rig)
-        self.step(rig)
-        return commands if rig.failed_orders else []
-
-    def _absorb(self, rig: Rig, report: Report) -> None:
+        machine.report_seq = (report.session, report.seq)
+        self._absorb(machine, report)
+        self._answered(machine)
+        commands = self._commands(machine)
+        self.step(machine)
+        return commands if machine.failed_orders else []
+
+    def _absorb(self, machine: HeldMachine, report: Report) -> None:
         """Believe a report as far as it is newer, and an absence only when fresh."""
-        if report.session < rig.min_session or report.machine != rig.machine.name:
+        if report.session < machine.min_session or report.machine != machine.info.name:
             return
-        if (report.session, report.seq) <= (rig.session, rig.seq):
+        if (report.session, report.seq) <= (machine.session, machine.seq):
             return
         now = self.clock.seconds()
-        if report.session > rig.session:
+        if report.session > machine.session:
             # A new session has its full lease, answered or not: after an outage the
             # last answer may be long past while tasks of this session run.
-            self._answered(rig)
-            for key, start in list(rig.starts.items()):
+            self._answered(machine)
+            for key, start in list(machine.starts.items()):
                 if start.session < report.session:
                     # The session's end killed it, and orders of that session are void.
-                    del rig.starts[key]
-                    rig.tombs[key] = GONE
-            if rig.session:
-                log.info("{rig}: session {s}", rig=report.machine, s=report.session)
-        rig.session, rig.seq = report.session, report.seq
-        rig.last_heard = now
-        rig.lost = False
-        fresh, noticed = rig.fresh, rig.notice_s
-        rig.notice_s = report.notice_s
-        rig.fresh = rig.fresh or report.token == rig.number
-        old = rig.tasks
-        rig.tasks = {(t.parcel, t.attempt): t for t in report.tasks}
+                    del machine.starts[key]
+                    machine.over[key] = GONE
+            if machine.session:
+                log.info("{machine}: session {s}", machine=report.machine, s=report.session)
+        machine.session, machine.seq = report.session, report.seq
+        machine.last_heard = now
+        machine.lost = False
+        fresh, noticed = machine.fresh, machine.notice_s
+        machine.notice_s = report.notice_s
+        machine.fresh = machine.fresh or report.token == machine.number
+        old = machine.tasks
+        machine.tasks = {(t.parcel, t.attempt): t for t in report.tasks}
         news = [
             (key, task)
-            for key, task in rig.tasks.items()
+            for key, task in machine.tasks.items()
             if key not in old or old[key].status != task.status
         ]
-        gone = any(key not in rig.tasks for key in old)
-        if news or gone or fresh != rig.fresh or (noticed is None) != (rig.notice_s is None):
-            rig.touch()
+        gone = any(key not in machine.tasks for key in old)
+        if (
+            news
+            or gone
+            or fresh != machine.fresh
+            or (noticed is None) != (machine.notice_s is None)
+        ):
+            machine.touch()
         for key, task in news:
-            self._seen(rig, key, task)
-        if rig.tasks and any(t.status != "ended" for t in rig.tasks.values()):
-            rig.idle_since = now
+            self._seen(machine, key, task)
+        if machine.tasks and any(t.status != "ended" for t in machine.tasks.values()):
+            machine.idle_since = now
 
-    def _answered(self, rig: Rig) -> None:
+    def _answered(self, machine: HeldMachine) -> None:
         """Only a worker that knows our number takes no answer of a former holder."""
         now = self.clock.seconds()
-        rig.last_answer = now if rig.fresh else max(rig.last_answer, now)
+        machine.last_answer = now if machine.fresh else max(machine.last_answer, now)
 
-    def _seen(self, rig: Rig, key: Key, task: TaskReport) -> None:
-        want = rig.wants.get(key)
+    def _seen(self, machine: HeldMachine, key: Key, task: TaskReport) -> None:
+        want = machine.wants.get(key)
         job = key[0].partition("/")[0]
         if task.status in ("running", "saving") and want:
-            self._cache(rig, want.image, want.image_gb)
+            self._cache(machine, want.image, want.image_gb)
         if task.status == "ended" and task.why == "error":
             now = self.clock.seconds()
             places = self.bad_jobs.setdefault(job, set())
-            places.add(rig.machine.name)
-            rig.errors[job] = now
+            places.add(machine.info.name)
+            machine.errors[job] = now
             # One job failing in many places is a bad job; many jobs failing in one
             # place is a bad machine.
             recent = [
                 j
-                for j, at in rig.errors.items()
+                for j, at in machine.errors.items()
                 if now - at < self.timing.worker_lease * 6 and len(self.bad_jobs.get(j, ())) < 3
             ]
             if len(recent) >= 2 or (len(recent) == 1 and len(places) == 1):
                 span = self.timing.worker_lease * (6 if len(recent) >= 2 else 1)
-                rig.sick_until = max(rig.sick_until, now + span)
-                rig.bad = rig.bad or len(recent) >= 2
-                name = rig.machine.name
-                log.warn("{rig} fails tasks of {jobs}: set aside", rig=name, jobs=recent)
+                machine.sick_until = max(machine.sick_until, now + span)
+                machine.bad = machine.bad or len(recent) >= 2
+                name = machine.info.name
+                log.warn("{machine} fails tasks of {jobs}: set aside", machine=name, jobs=recent)
         if task.status == "ended":
-            rig.bad = rig.bad and task.why != "done"
+            machine.bad = machine.bad and task.why != "done"
             self.on_room()
 
     def recall(self, caches: dict[str, dict[str, float]]) -> None:
         """What others knew of our machines' caches, as far as we don't."""
-        for name in caches.keys() & self.rigs.keys():
-            self._recall(self.rigs[name])
+        for name in caches.keys() & self.machines.keys():
+            self._recall(self.machines[name])
 
-    def _recall(self, rig: Rig) -> None:
-        known = self.caches.get(rig.machine.name, {})
-        if known.keys() - rig.images.keys():
-            rig.images = {**known, **rig.images}
-            self._trim(rig)
-            rig.touch()
+    def _recall(self, machine: HeldMachine) -> None:
+        known = self.caches.get(machine.info.name, {})
+        if known.keys() - machine.images.keys():
+            machine.images = {**known, **machine.images}
+            self._trim(machine)
+            machine.touch()
 
-    def _cache(self, rig: Rig, image: str, size_gb: float) -> None:
+    def _cache(self, machine: HeldMachine, image: str, size_gb: float) -> None:
         """The machine keeps the most recently used images within its cache."""
-        rig.images.pop(image, None)
-        rig.images[image] = size_gb
-        self._trim(rig)
+        machine.images.pop(image, None)
+        machine.images[image] = size_gb
+        self._trim(machine)
 
-    def _trim(self, rig: Rig) -> None:
-        if rig.machine.kind in self.types():
-            trim(rig.images, self.types()[rig.machine.kind])
+    def _trim(self, machine: HeldMachine) -> None:
+        if machine.info.kind in self.types():
+            trim(machine.images, self.types()[machine.info.kind])
 
     # -- wants
 
     def sync(self, message: Sync) -> list[Status]:
-        """An owner's full wish list for one folio; older lists are ignored."""
+        """An owner's full wish list for one partition; older lists are ignored."""
         stamp = (message.version, message.inc, message.seq)
-        if stamp <= self.streams.get(message.folio, (0, 0, 0)):
+        if stamp <= self.streams.get(message.partition, (0, 0, 0)):
             return []
-        self.streams[message.folio] = stamp
-        self.owners[message.folio] = message.owner
+        self.streams[message.partition] = stamp
+        self.owners[message.partition] = message.owner
         said: dict[str, dict[Key, Want]] = {}
         for want in message.wants:
             said.setdefault(want.machine, {})[(want.task, want.attempt)] = want
-        old = self.stream_wants.setdefault(message.folio, {})
+        old = self.stream_wants.setdefault(message.partition, {})
         names = {*old, *said} if message.machines is None else set(message.machines) | said.keys()
         touched = []
         for name in names:
             before, now = old.pop(name, {}), said.get(name, {})
             if now:
                 old[name] = now
-            if name in self.rigs and self._take(self.rigs[name], message.folio, before, now):
+            if name in self.machines and self._take(
+                self.machines[name], message.partition, before, now
+            ):
                 touched.append(name)
         for name in touched:
-            rig = self.held(name)
-            if rig:
-                self.step(rig)
+            machine = self.held(name)
+            if machine:
+                self.step(machine)
         answers = []
         for want in message.wants:
-            rig = self.rigs.get(want.machine)
-            if rig and rig.number == want.number:
+            machine = self.machines.get(want.machine)
+            if machine and machine.number == want.number:
                 key = (want.task, want.attempt)
-                status = self._status(rig, key, want)
+                status = self._status(machine, key, want)
                 if status:
-                    rig.told[key] = (status.state, status.why)
+                    machine.told[key] = (status.state, status.why)
                     answers.append(status)
         return answers
 
-    def _take(self, rig: Rig, folio: str, old: dict[Key, Want], new: dict[Key, Want]) -> bool:
-        """One folio's wants on one machine replace what it wanted before."""
+    def _take(
+        self, machine: HeldMachine, partition: str, old: dict[Key, Want], new: dict[Key, Want]
+    ) -> bool:
+        """One partition's wants on one machine replace what it wanted before."""
         changed = False
         for key, want in old.items():
-            if key not in new and rig.wants.get(key) is want:
-                del rig.wants[key]
-                rig.folio_of.pop(key, None)
-                rig.told.pop(key, None)
+            if key not in new and machine.wants.get(key) is want:
+                del machine.wants[key]
+                machine.partition_of.pop(key, None)
+                machine.told.pop(key, None)
                 changed = True
-                if key in rig.starts and key not in rig.tombs:
+                if key in machine.starts and key not in machine.over:
                     # Nobody wants it any more, yet our start may still be under way.
-                    rig.doomed.add(key)
+                    machine.unwanted.add(key)
         for key, want in new.items():
-            if rig.number != want.number:
+            if machine.number != want.number:
                 continue
-            if rig.wants.get(key) != want:
+            if machine.wants.get(key) != want:
                 changed = True
-                if key in rig.tasks and rig.tasks[key].status != "fetching":
-                    self._cache(rig, want.image, want.image_gb)
-            rig.wants[key] = want
-            rig.folio_of[key] = folio
-            rig.strangers.pop(key, None)
+                if key in machine.tasks and machine.tasks[key].status != "fetching":
+                    self._cache(machine, want.image, want.image_gb)
+            machine.wants[key] = want
+            machine.partition_of[key] = partition
+            machine.strangers.pop(key, None)
         if changed:
-            rig.touch()
+            machine.touch()
         return changed
 
-    def _status(self, rig: Rig, key: Key, want: Want) -> Status | None:
-        name, number = rig.machine.name, rig.number
-        if key in rig.tombs:
-            return Status(name, number, key[0], key[1], rig.tombs[key])
-        task = rig.tasks.get(key)
+    def _status(self, machine: HeldMachine, key: Key, want: Want) -> Status | None:
+        name, number = machine.info.name, machine.number
+        if key in machine.over:
+            return Status(name, number, key[0], key[1], machine.over[key])
+        task = machine.tasks.get(key)
         if task is None:
             return None
         if task.status == "ended":
-            if want.action == CLEAR and rig.starts.get(key) and rig.starts[key].doubt:
+            if want.action == CLEAR and machine.starts.get(key) and machine.starts[key].doubt:
                 return Status(name, number, key[0], key[1], KEPT)
             return Status(name, number, key[0], key[1], ENDED, task.why, bool(task.saved))
         return Status(name, number, key[0], key[1], task.status)
 
-    def _tell(self, rig: Rig) -> None:
+    def _tell(self, machine: HeldMachine) -> None:
         """Push to the owners what changed; what is lost is told again."""
         by_owner: dict[str, list[Status]] = {}
-        for key, want in rig.wants.items():
-            status = self._status(rig, key, want)
+        for key, want in machine.wants.items():
+            status = self._status(machine, key, want)
             if status is None:
                 continue
             mark = (status.state, status.why)
-            owner = self.owners.get(rig.folio_of.get(key, ""))
-            if rig.told.get(key) != mark and owner:
-                rig.told[key] = mark
+            owner = self.owners.get(machine.partition_of.get(key, ""))
+            if machine.told.get(key) != mark and owner:
+                machine.told[key] = mark
                 by_owner.setdefault(owner, []).append(status)
         for owner, statuses in by_owner.items():
             self.push(owner, statuses)
@@ -411,50 +425,50 @@
     def untold(self, statuses: list[Status]) -> None:
         """These did not reach their owner: they are told again with the next beat."""
         for status in statuses:
-            rig = self.rigs.get(status.machine)
-            if rig is not None and rig.number == status.number:
-                rig.told.pop((status.task, status.attempt), None)
-                rig.calm = False
+            machine = self.machines.get(status.machine)
+            if machine is not None and machine.number == status.number:
+                machine.told.pop((status.task, status.attempt), None)
+                machine.calm = False
 
     # -- orders
 
-    def _usable(self, rig: Rig) -> bool:
+    def _usable(self, machine: HeldMachine) -> bool:
         return (
-            rig.fresh
-            and not rig.lost
-            and rig.notice_s is None
-            and not rig.retiring
-            and rig.sick_until <= self.clock.seconds()
+            machine.fresh
+            and not machine.lost
+            and machine.notice_s is None
+            and not machine.retiring
+            and machine.sick_until <= self.clock.seconds()
         )
 
-    def _free(self, rig: Rig, but: Key | None = None) -> tuple[float, float, float]:
-        kind = self.types().get(rig.machine.kind)
+    def _free(self, machine: HeldMachine, but: Key | None = None) -> tuple[float, float, float]:
+        kind = self.types().get(machine.info.kind)
         if kind is None:
             return 0.0, 0.0, 0.0
         cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
-        for key, want in rig.wants.items():
-            if key != but and rig.live(key):
+        for key, want in machine.wants.items():
+            if key != but and machine.live(key):
                 cpus -= want.cpus
                 gpus -= want.gpus
                 memory -= want.memory_gb
         return cpus, gpus, memory
 
-    def _fits(self, rig: Rig, key: Key, want: Want) -> bool:
-        cpus, gpus, memory = self._free(rig, key)
+    def _fits(self, machine: HeldMachine, key: Key, want: Want) -> bool:
+        cpus, gpus, memory = self._free(machine, key)
         return (
             want.cpus <= cpus + 1e-6
             and want.gpus <= gpus + 1e-6
             and (want.memory_gb <= memory + 1e-6)
         )
 
-    def _evict(self, rig: Rig, key: Key, want: Want) -> bool:
+    def _evict(self, machine: HeldMachine, key: Key, want: Want) -> bool:
         """Choose lower work to stop for this want; whether that will make room."""
-        cpus, gpus, memory = self._free(rig, key)
+        cpus, gpus, memory = self._free(machine, key)
         victims = sorted(
             (
                 (k, w)
-                for k, w in rig.wants.items()
-                if w.rank > want.rank and rig.live(k) and k != key
+                for k, w in machine.wants.items()
+                if w.rank > want.rank and machine.live(k) and k != key
             ),
             key=lambda item: (-item[1].rank, not item[1].saves, item[1].gpus),
         )
@@ -471,166 +485,166 @@
         if want.cpus > cpus + 1e-6 or want.gpus > gpus + 1e-6 or want.memory_gb > memory + 1e-6:
             return False
         for k, w in chosen:
-            if k not in rig.evicted:
-                rig.evicted[k] = w.save_s * 1.5 if w.saves else 0.0
-                rig.touch()
-                name = rig.machine.name
-                log.info("{rig}: {k} makes room for {key}", rig=name, k=k[0], key=key[0])
+            if k not in machine.evicted:
+                machine.evicted[k] = w.save_s * 1.5 if w.saves else 0.0
+                machine.touch()
+                name = machine.info.name
+                log.info("{machine}: {k} makes room for {key}", machine=name, k=k[0], key=key[0])
         return True
 
-    def _commands(self, rig: Rig) -> list[dict[str, Any]]:
+    def _commands(self, machine: HeldMachine) -> list[dict[str, Any]]:
         """Orders that the difference between wants and reports calls for."""
         commands = []
         withdrawn = self.session.withdrawn
-        for key, task in rig.tasks.items():
+        for key, task in machine.tasks.items():
             if task.status == "ended":
                 continue
-            want = rig.wants.get(key)
+            want = machine.wants.get(key)
             job = key[0].partition("/")[0]
             if job in withdrawn:
                 grace: float | None = 0.0
-            elif key in rig.doomed:
+            elif key in machine.unwanted:
                 grace = 0.0
             elif want is not None and want.action == STOP:
                 grace = want.save_s * 1.5 if want.saves else 0.0
-            elif key in rig.evicted:
-                grace = rig.evicted[key]
-            elif want is not None and rig.notice_s is not None:
+            elif key in machine.evicted:
+                grace = machine.evicted[key]
+            elif want is not None and machine.notice_s is not None:
                 # The machine is about to go: save what can be saved, go on elsewhere.
                 grace = want.save_s * 1.5 if want.saves else 0.0
             else:
                 grace = None
             if grace is not None and not (task.status == "saving" and grace > 0):
                 commands.append(order_stop(key[0], key[1], grace))
-        for key, task in rig.tasks.items():
-            want = rig.wants.get(key)
-            doubt = key in rig.starts and rig.starts[key].doubt
+        for key, task in machine.tasks.items():
+            want = machine.wants.get(key)
+            doubt = key in machine.starts and machine.starts[key].doubt
             if task.status == "ended" and not doubt:
                 # After a clear the worker has forgotten the attempt, so a start
                 # still under way would run it once more: never clear in doubt.
-                if (want and want.action == CLEAR) or key in rig.doomed:
+                if (want and want.action == CLEAR) or key in machine.unwanted:
                     commands.append(order_clear(key[0], key[1]))
         return commands
 
-    def _starts(self, rig: Rig) -> list[dict[str, Any]]:
+    def _starts(self, machine: HeldMachine) -> list[dict[str, Any]]:
         commands = []
-        for key, want in sorted(rig.wants.items(), key=lambda item: item[1].rank):
-            if key in rig.tasks or key in rig.tombs or not rig.fresh:
+        for key, want in sorted(machine.wants.items(), key=lambda item: item[1].rank):
+            if key in machine.tasks or key in machine.over or not machine.fresh:
                 continue
-            start = rig.starts.get(key)
+            start = machine.starts.get(key)
             if start is not None and start.answered and not start.doubt:
                 # It was there, and a newer report does not list it.
-                self._bury(rig, key, GONE)
+                self._bury(machine, key, GONE)
             elif want.action == HOLD:
-                if not self._usable(rig) or not (want.evict or self._fits(rig, key, want)):
-                    self._bury(rig, key, REFUSED)
+                if not self._usable(machine) or not (want.evict or self._fits(machine, key, want)):
+                    self._bury(machine, key, REFUSED)
             elif want.action == RUN and key[0].partition("/")[0] not in self.session.withdrawn:
                 if start is not None:
                     commands.append(order_start(*key))
-                elif not self._usable(rig):
-                    self._bury(rig, key, REFUSED)
-                elif self._fits(rig, key, want):
+                elif not self._usable(machine):
+                    self._bury(machine, key, REFUSED)
+                elif self._fits(machine, key, want):
                     commands.append(order_start(*key))
-                elif not (want.evict and self._evict(rig, key, want)):
-                    self._bury(rig, key, REFUSED)
+                elif not (want.evict and self._evict(machine, key, want)):
+                    self._bury(machine, key, REFUSED)
             elif start is None:
                 # A fresh report does not list it, older numbers are fenced out and
                 # this one never sent it.
-                self._bury(rig, key, GONE)
+                self._bury(machine, key, GONE)
             elif not start.answered or start.doubt:
                 # Settle the doubt: the same start again, then its end.
                 commands.append(order_start(*key))
                 commands.append(order_stop(key[0], key[1], 0.0))
-        for key in list(rig.doomed):
-            if key in rig.tombs or key in rig.tasks or not rig.fresh:
+        for key in list(machine.unwanted):
+            if key in machine.over or key in machine.tasks or not machine.fresh:
                 continue
-            start = rig.starts.get(key)
+            start = machine.starts.get(key)
             if start is None or (start.answered and not start.doubt):
-                rig.doomed.discard(key)
+                machine.unwanted.discard(key)
             else:
                 commands.append(order_start(*key))
                 commands.append(order_stop(key[0], key[1], 0.0))
         return commands
 
-    def _bury(self, rig: Rig, key: Key, state: str) -> None:
-        rig.tombs[key] = state
-        if len(rig.tombs) > MOST_TOMBS:
+    def _bury(self, machine: HeldMachine, key: Key, state: str) -> None:
+        machine.over[key] = state
+        if len(machine.over) > MOST_OVER:
             # A number lasts for weeks now; nobody asks for the oldest any more.
-            unwanted = [k for k in rig.tombs if k not in rig.wants]
-            for old in unwanted[: MOST_TOMBS // 2]:
-                del rig.tombs[old]
-        rig.touch()
-        rig.starts.pop(key, None)
-        rig.doomed.discard(key)
-        log.info("{rig}: {key} {state}", rig=rig.machine.name, key=key, state=state)
-
-    def step(self, rig: Rig) -> None:
+            unwanted = [k for k in machine.over if k not in machine.wants]
+            for old in unwanted[: MOST_OVER // 2]:
+                del machine.over[old]
+        machine.touch()
+        machine.starts.pop(key, None)
+        machine.unwanted.discard(key)
+        log.info("{machine}: {key} {state}", machine=machine.info.name, key=key, state=state)
+
+    def step(self, machine: HeldMachine) -> None:
         """Compare wants with what is known, send what is missing, tell what changed."""
-        if self.held(rig.machine.name) is not rig:
+        if self.held(machine.info.name) is not machine:
             return
         now = self.clock.seconds()
-        starts = self._starts(rig)
-        commands = self._commands(rig) + starts
-        self._tell(rig)
-        rig.calm = (
-            rig.fresh
+        starts = self._starts(machine)
+        commands = self._commands(machine) + starts
+        self._tell(machine)
+        machine.calm = (
+            machine.fresh
             and not commands
-            and not rig.doomed
-            and all(key in rig.wants for key in rig.tasks)
+            and not machine.unwanted
+            and all(key in machine.wants for key in machine.tasks)
         )
-        if rig.ordering or now < rig.next_order:
+        if machine.ordering or now < machine.next_order:
             return
-        if not rig.fresh or commands:
-            rig.ordering = True
-            spawn(self._send(rig, commands if rig.fresh else []), "orders")
+        if not machine.fresh or commands:
+            machine.ordering = True
+            spawn(self._send(machine, commands if machine.fresh else []), "orders")
 
-    async def _send(self, rig: Rig, commands: list[dict[str, Any]]) -> None:
-        session = rig.session
+    async def _send(self, machine: HeldMachine, commands: list[dict[str, Any]]) -> None:
+        session = machine.session
         sent = []
         for command in commands:
             if command["verb"] == "start":
                 key = (command["parcel"], command["try"])
-                start = rig.starts.setdefault(key, Start(session))
+                start = machine.starts.setdefault(key, Start(session))
                 start.session = session
                 sent.append((key, start))
                 log.info(
-                    "start {task} try {attempt} on {rig} under {number}",
+                    "start {task} try {attempt} on {machine} under {number}",
                     task=key[0],
                     attempt=key[1],
-                    rig=rig.machine.name,
-                    number=rig.number,
+                    machine=machine.info.name,
+                    number=machine.number,
                 )
         try:
             done, report = await self.workers.order(
-                rig.machine.address, rig.number, session, commands
+                machine.info.address, machine.number, session, commands
             )
         except CallFailed as error:
             for _, start in sent:
                 start.doubt = True
-            rig.failed_orders += 1
-            rig.next_order = self.clock.seconds() + self.timing.retry
-            log.info("orders to {rig} failed: {error}", rig=rig.machine.name, error=error)
-            rig.ordering = False
+            machine.failed_orders += 1
+            machine.next_order = self.clock.seconds() + self.timing.retry
+            log.info("orders to {machine} failed: {error}", machine=machine.info.name, error=error)
+            machine.ordering = False
             return
-        rig.ordering = False
-        rig.failed_orders = 0
+        machine.ordering = False
+        machine.failed_orders = 0
         for key, start in sent:
             if done:
                 start.answered = True
-            elif start.session == report.session and rig.starts.get(key) is start:
+            elif start.session == report.session and machine.starts.get(key) is start:
                 # Refused for the number: a higher one is out, so it can't run.
                 start.doubt = True
-        before = rig.session
+        before = machine.session
         if not done:
-            rig.next_order = self.clock.seconds() + (
+            machine.next_order = self.clock.seconds() + (
                 0.0 if before != report.session else self.timing.retry
             )
-        self._absorb(rig, report)
-        if not rig.fresh:
+        self._absorb(machine, report)
+        if not machine.fresh:
             # Not the word we wait for (a session that must end first): no haste.
-            rig.next_order = max(rig.next_order, self.clock.seconds() + self.timing.retry)
-        if self.rigs.get(rig.machine.name) is rig:
-            self.step(rig)
+            machine.next_order = max(machine.next_order, self.clock.seconds() + self.timing.retry)
+        if self.machines.get(machine.info.name) is machine:
+            self.step(machine)
 
     # -- time
 
@@ -639,144 +653,146 @@
         now = self.clock.seconds()
         if not self.session.valid():
             return
-        for rig in list(self.rigs.values()):
-            if not rig.lost and now > rig.last_answer + self.timing.worker_gone:
-                self._lose(rig)
-            if rig.calm:
+        for machine in list(self.machines.values()):
+            if not machine.lost and now > machine.last_answer + self.timing.worker_gone:
+                self._lose(machine)
+            if machine.calm:
                 continue
-            if rig.fresh:
-                self._check_strangers(rig, now)
-            self.step(rig)
+            if machine.fresh:
+                self._check_strangers(machine, now)
+            self.step(machine)
 
-    def _lose(self, rig: Rig) -> None:
+    def _lose(self, machine: HeldMachine) -> None:
         """Nobody answered the worker for longer than its lease: all on it is gone."""
-        log.warn("{rig} is silent beyond its lease", rig=rig.machine.name)
-        rig.lost = True
-        rig.fresh = False
-        rig.min_session = rig.session + 1 if rig.session else 0
-        for key in set(rig.wants) | set(rig.starts) | set(rig.tasks):
-            if key not in rig.tombs:
-                self._bury(rig, key, GONE)
-        rig.tasks.clear()
-        rig.touch()
-        self._tell(rig)
+        log.warn("{machine} is silent beyond its lease", machine=machine.info.name)
+        machine.lost = True
+        machine.fresh = False
+        machine.min_session = machine.session + 1 if machine.session else 0
+        for key in set(machine.wants) | set(machine.starts) | set(machine.tasks):
+            if key not in machine.over:
+                self._bury(machine, key, GONE)
+        machine.tasks.clear()
+        machine.touch()
+        self._tell(machine)
 
     def returned(self, name: str) -> None:
         """The cloud has confirmed that the machine and all on it are gone."""
-        rig = self.rigs.get(name)
-        if rig is not None and not rig.lost:
-            rig.min_session = 1 << 62
-            self._lose(rig)
-
-    def _check_strangers(self, rig: Rig, now: float) -> None:
-        for key in list(rig.strangers):
-            if key not in rig.tasks or key in rig.wants:
-                del rig.strangers[key]
-        for key in rig.tasks:
-            if key in rig.wants or key in rig.doomed:
+        machine = self.machines.get(name)
+        if machine is not None and not machine.lost:
+            machine.min_session = 1 << 62
+            self._lose(machine)
+
+    def _check_strangers(self, machine: HeldMachine, now: float) -> None:
+        for key in list(machine.strangers):
+            if key not in machine.tasks or key in machine.wants:
+                del machine.strangers[key]
+        for key in machine.tasks:
+            if key in machine.wants or key in machine.unwanted:
                 continue
-            since = rig.strangers.setdefault(key, now)
-            if now - since > self.timing.stranger and key not in rig.judged:
-                rig.strangers[key] = now
-                spawn(self._judge(rig, key), "stranger")
+            since = machine.strangers.setdefault(key, now)
+            if now - since > self.timing.stranger and key not in machine.judged:
+                machine.strangers[key] = now
+                spawn(self._judge(machine, key), "stranger")
 
-    async def _judge(self, rig: Rig, key: Key) -> None:
+    async def _judge(self, machine: HeldMachine, key: Key) -> None:
         """A task that no owner speaks for: the stored record decides."""
-        rig.judged.add(key)
+        machine.judged.add(key)
         try:
-            bound = await self.verdict(key[0], key[1], rig.machine.name)
+            bound = await self.verdict(key[0], key[1], machine.info.name)
         finally:
-            rig.judged.discard(key)
-        if bound is False and key in rig.tasks and key not in rig.wants:
-            log.info("{rig}: {key} belongs to nobody", rig=rig.machine.name, key=key)
-            rig.doomed.add(key)
-            self.step(rig)
+            machine.judged.discard(key)
+        if bound is False and key in machine.tasks and key not in machine.wants:
+            log.info("{machine}: {key} belongs to nobody", machine=machine.info.name, key=key)
+            machine.unwanted.add(key)
+            self.step(machine)
 
     # -- summaries
 
-    def _room(self, rig: Rig) -> Room:
+    def _room(self, machine: HeldMachine) -> Room:
         """The machine's room, counted anew only when something there has changed."""
-        if rig.room is None or rig.machine.kind not in self.types():
-            cpus, gpus, memory = self._free(rig)
+        if machine.room is None or machine.info.kind not in self.types():
+            cpus, gpus, memory = self._free(machine)
             lower = [[0.0, 0.0, 0.0] for _ in range(4)]
             # What no owner speaks for yet keeps the machine from being idle, too.
             tasks = sum(
-                1 for k, t in rig.tasks.items() if k not in rig.wants and t.status != "ended"
+                1
+                for k, t in machine.tasks.items()
+                if k not in machine.wants and t.status != "ended"
             )
-            for key, want in rig.wants.items():
-                if not rig.live(key):
+            for key, want in machine.wants.items():
+                if not machine.live(key):
                     continue
                 tasks += 1
-                for rank in range(min(want.rank, 4)) if key not in rig.evicted else ():
+                for rank in range(min(want.rank, 4)) if key not in machine.evicted else ():
                     lower[rank][0] += want.cpus
                     lower[rank][1] += want.gpus
                     lower[rank][2] += want.memory_gb
-            machine = rig.machine
-            rig.room = Room(
-                machine.name,
-                machine.kind,
-                machine.zone,
-                machine.spot,
+            info = machine.info
+            machine.room = Room(
+                info.name,
+                info.kind,
+                info.zone,
+                info.spot,
                 cpus,
                 gpus,
                 memory,
-                dict(rig.images),
+                dict(machine.images),
                 [(low[0], low[1], low[2]) for low in lower],
                 tasks=tasks,
                 fetching=len(
                     {
                         want.image
-                        for key, want in rig.wants.items()
-                        if rig.live(key) and rig.unfetched(key, want)
+                        for key, want in machine.wants.items()
+                        if machine.live(key) and machine.unfetched(key, want)
                     }
                 ),
             )
             self.changes += 1
-            rig.changed = self.changes
-        usable = self._usable(rig)
-        if rig.room.usable != usable:
-            rig.room.usable = usable
+            machine.changed = self.changes
+        usable = self._usable(machine)
+        if machine.room.usable != usable:
+            machine.room.usable = usable
             self.changes += 1
-            rig.changed = self.changes
-        return rig.room
+            machine.changed = self.changes
+        return machine.room
 
     def views(self, since: int = 0) -> list[View]:
         """What has changed after that count of changes; silent machines always."""
         now = self.clock.seconds()
         views = []
-        for rig in self.rigs.values():
-            room = self._room(rig)
-            silent = now - rig.last_heard
-            if silent > self.timing.silent / 2 or rig.was_silent:
+        for machine in self.machines.values():
+            room = self._room(machine)
+            silent = now - machine.last_heard
+            if silent > self.timing.silent / 2 or machine.was_silent:
                 # Told while it lasts, and once more when it is over.
-                rig.was_silent = silent > self.timing.silent / 2
-            elif rig.changed <= since:
+                machine.was_silent = silent > self.timing.silent / 2
+            elif machine.changed <= since:
                 continue
             views.append(
                 View(
                     room,
-                    rig.number,
-                    rig.fresh,
-                    rig.lost,
-                    rig.sick_until > now,
-                    rig.bad,
-                    rig.notice_s is not None,
-                    rig.retiring,
+                    machine.number,
+                    machine.fresh,
+                    machine.lost,
+                    machine.sick_until > now,
+                    machine.bad,
+                    machine.notice_s is not None,
+                    machine.retiring,
                     silent,
-                    now - rig.idle_since,
+                    now - machine.idle_since,
                 )
             )
         return views
 
     def retire(self, names: list[str]) -> None:
         """The leader's list replaces the one before; who is on it no longer serves again."""
-        for name, rig in self.rigs.items():
-            if rig.retiring != (name in names):
-                rig.retiring = name in names
-                rig.touch()
+        for name, machine in self.machines.items():
+            if machine.retiring != (name in names):
+                machine.retiring = name in names
+                machine.touch()
 
     def rooms(self) -> list[Room]:
         """Copies for the owner in this process to reckon with."""
         if not self.session.valid():
             return []
-        return [copy(self._room(rig)) for rig in self.rigs.values()]
+        return [copy(self._room(machine)) for machine in self.machines.values()]
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -17,12 +17,12 @@
 from beamspar.cloud import CloudDown, NoCapacity
 from beamspar.control import records
 from beamspar.control.fleet import Fleet
-from beamspar.control.messages import Ask, Directions, Lane, Offers, Placed, Summary, View
-from beamspar.control.session import LEADER, Block, Machine, Session, block_record
+from beamspar.control.messages import Ask, Directions, JobClass, Offers, Placed, Summary, View
+from beamspar.control.session import LEADER, PARTITION, Block, Machine, Session, block_record
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import (
+    Preference,
     Room,
-    Taste,
     choose,
     choose_eviction,
     choose_group,
@@ -51,7 +51,7 @@
         self.at = -1e9
         # Each machine's view and when it came.
         self.views: dict[str, tuple[View, float]] = {}
-        self.lanes: dict[str, Lane] = {}
+        self.classes: dict[str, JobClass] = {}
         self.strays: list[str] = []
 
 
@@ -100,7 +100,7 @@
         self.leasing = False
         self.renting = False
         self.listing = False
-        self.taste: Callable[[Spec], Taste] = lambda spec: Taste()
+        self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
         # Since when a sibling does not answer us, None when it does.
         self.unreached: Callable[[str], float | None] = lambda member: None
 
@@ -215,7 +215,7 @@
 
     async def _bury_dead(self) -> None:
         """A member whose grant ended is fenced out first; then its work goes on elsewhere."""
-        owners = {f.owner for f in self.session.folios.values()}
+        owners = {f.owner for f in self.session.partitions.values()}
         holders = {b.holder for b in self.session.blocks.values()}
         for dead in sorted((owners | holders) - self.session.members):
             fence_key = f"c/fence/{dead}"
@@ -233,10 +233,10 @@
             if not counts:
                 return
             heirs = sorted(counts)
-            for index, (name, folio) in enumerate(sorted(self.session.folios.items())):
-                if folio.owner == dead:
+            for index, (name, partition) in enumerate(sorted(self.session.partitions.items())):
+                if partition.owner == dead:
                     heir = heirs[index % len(heirs)]
-                    changes.append((f"c/folio/{name}", {"owner": heir}))
+                    changes.append((PARTITION + name, {"owner": heir}))
             for name, block in self.session.blocks.items():
                 if block.holder == dead:
                     zone = block.machines[0].zone if block.machines else ""
@@ -429,7 +429,7 @@
             picture = self.pictures[summary.member] = Picture(summary.inc)
         taken = picture.count == summary.since
         if taken:
-            picture.count, picture.at, picture.lanes = summary.count, now, summary.lanes
+            picture.count, picture.at, picture.classes = summary.count, now, summary.classes
             picture.strays = summary.strays
             picture.views.update({v.room.name: (v, now) for v in summary.views})
             for name, images in summary.caches.items():
@@ -437,9 +437,9 @@
                     self._cached(name, images)
             for view in summary.views:
                 self._cached(view.room.name, view.room.images, view.room.kind)
-        for name, lane in summary.lanes.items():
+        for name, job_class in summary.classes.items():
             if name not in self.shapes:
-                self.shapes[name] = msgspec.convert(lane.spec, Spec)
+                self.shapes[name] = msgspec.convert(job_class.spec, Spec)
         for raw in summary.seen:
             try:
                 self.saw(msgspec.convert(raw, Machine))
@@ -516,16 +516,23 @@
             room: Room | None
             if spec.grouped and not ask.zones:
                 group = choose_group(
-                    spec, ask.count, rooms, {}, {}, ask.avoid, near, taste=self.taste(spec)
+                    spec,
+                    ask.count,
+                    rooms,
+                    {},
+                    {},
+                    ask.avoid,
+                    near,
+                    preference=self.preference(spec),
                 )
                 for chosen in group:
                     self._lend(spec, chosen, now)
                     offers.append(Placed(spec.id, chosen.name))
                 self.wishes[spec.id] = (spec, 0 if group else ask.count, now)
                 continue
-            taste = self.taste(spec)
+            preference = self.preference(spec)
             while left:
-                room = choose(spec, rooms, zones, machines, ask.avoid, near, taste=taste)
+                room = choose(spec, rooms, zones, machines, ask.avoid, near, preference=preference)
                 evict = False
                 if room is None and spec.rank < 3:
                     room = choose_eviction(spec, rooms, zones, ask.avoid)
@@ -574,11 +581,11 @@
         for picture in self.pictures.values():
             if now - picture.at > self.timing.report:
                 continue
-            for name, lane in picture.lanes.items():
+            for name, job_class in picture.classes.items():
                 zones = running.setdefault(name, {})
-                for zone, bound in lane.zones.items():
+                for zone, bound in job_class.zones.items():
                     zones[zone] = zones.get(zone, 0) + bound
-                largest[name] = max(largest.get(name, 0), lane.largest)
+                largest[name] = max(largest.get(name, 0), job_class.largest)
         for name, size in largest.items():
             known, at = self.largest.get(name, (0, now))
             if size >= known or now - at > self.timing.remember:
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -37,14 +37,14 @@
 
 
 class Sync(msgspec.Struct):
-    """All that the owner of a folio wants on these machines of one holder, or on all.
+    """All that the owner of a partition wants on these machines of one holder, or on all.
 
     It replaces what was said of them before. An owner has one such message under way
     to a holder at a time and repeats the machines of one that was not answered.
     """
 
     owner: str
-    folio: str
+    partition: str = msgspec.field(name="folio")
     version: int
     inc: int
     seq: int
@@ -108,7 +108,7 @@
     idle_s: float
 
 
-class Lane(msgspec.Struct, array_like=True):
+class JobClass(msgspec.Struct, array_like=True):
     """What one class of jobs is like at one member: a job of it, the largest, what runs."""
 
     spec: dict[str, Any]
@@ -129,7 +129,7 @@
     since: int = 0
     count: int = 0
     seen: list[dict[str, Any]] = []
-    lanes: dict[str, Lane] = {}
+    classes: dict[str, JobClass] = msgspec.field(name="lanes", default_factory=dict)
     # Up to where the leader's cache map is known; at first contact, the map itself.
     caches_known: int = 0
     caches: dict[str, dict[str, float]] = {}
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -21,7 +21,7 @@
     Ask,
     Asks,
     Directions,
-    Lane,
+    JobClass,
     Nudge,
     Offers,
     Placed,
@@ -38,7 +38,7 @@
 from beamspar.control.owner import Owner
 from beamspar.control.session import Machine, Session
 from beamspar.http import Answer, Call, CallFailed, Clock, Net, Sockets, sleep, spawn
-from beamspar.placement import Taste, slow_kinds
+from beamspar.placement import Preference, slow_kinds
 from beamspar.settings import Settings, Timing, Tuning
 from beamspar.state import Conflict, NoLease, StateClient, StateDown, put
 from beamspar.wire import BODY_LIMIT, MachineType, Spec, convert, pack, unpack
@@ -134,7 +134,7 @@
         budget.loaded = lambda: owner.loaded
         budget.on_share = owner.pump
         owner.rooms, owner.ask, owner.send = holder.rooms, self._ask, self._send_syncs
-        owner.taste = leader.taste = self._taste
+        owner.preference = leader.preference = self._preference
         leader.unreached = self.unreached.get
         holder.caches = self.caches
         holder.push = self._push
@@ -189,10 +189,10 @@
             log.info("no verdict on {task}: {error}", task=task, error=error)
             return None
 
-    def _taste(self, spec: Spec) -> Taste:
+    def _preference(self, spec: Spec) -> Preference:
         """What the running work asks of accelerator machines, and the class's haste."""
-        within = self.settings.facts.start_within(spec.lane)
-        return Taste(
+        within = self.settings.facts.start_within(spec.job_class)
+        return Preference(
             self.per_gpu,
             slow_kinds(spec, within, self.types.values()),
         )
@@ -386,16 +386,18 @@
         leader = session.leader
         if leader is None or not session.valid() or self.beating:
             return
-        lanes: dict[str, Lane] = {}
+        classes: dict[str, JobClass] = {}
         for job in self.owner.jobs.values():
             if job.status == records.LIVE:
-                lane = lanes.get(job.spec.lane)
-                if lane is None:
-                    lane = lanes[job.spec.lane] = Lane(msgspec.to_builtins(job.spec))
+                job_class = classes.get(job.spec.job_class)
+                if job_class is None:
+                    job_class = classes[job.spec.job_class] = JobClass(
+                        msgspec.to_builtins(job.spec)
+                    )
                 zones, _ = job.places(self.owner.zone_of)
                 for zone, count in zones.items():
-                    lane.zones[zone] = lane.zones.get(zone, 0) + count
-                lane.largest = max(lane.largest, job.spec.tasks)
+                    job_class.zones[zone] = job_class.zones.get(zone, 0) + count
+                job_class.largest = max(job_class.largest, job.spec.tasks)
         if leader != session.me and not self.reachable(leader):
             # A full picture a beat for a leader that is down would be a lot of nothing.
             self.beat_known = 0
@@ -408,7 +410,7 @@
             known,
             self.holder.changes,
             [msgspec.to_builtins(m) for m in self.seen.values()],
-            lanes,
+            classes,
             self.caches_known if known else 0,
             {} if known else self.caches,
             self._strays(),
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -31,9 +31,9 @@
     Want,
 )
 from beamspar.control.records import DONE, LIVE, WITHDRAWN, Chunk, EndRecord, JobRecord
-from beamspar.control.session import Session
+from beamspar.control.session import PARTITION, Session
 from beamspar.http import Clock, sleep, spawn
-from beamspar.placement import Room, Taste, choose, choose_group
+from beamspar.placement import Preference, Room, choose, choose_group
 from beamspar.settings import Settings, Timing
 from beamspar.state import (
     ACCEPT,
@@ -89,9 +89,9 @@
 class Job:
     """A job of ours in memory; its record's version fences every write of it."""
 
-    def __init__(self, spec: Spec, folio: str, per: int, now: float) -> None:
+    def __init__(self, spec: Spec, partition: str, per: int, now: float) -> None:
         self.spec = spec
-        self.folio = folio
+        self.partition = partition
         self.per = per
         self.version = 0
         self.chunk_versions: dict[int, int] = {}
@@ -180,7 +180,7 @@
     def record(self) -> dict[str, Any]:
         record = JobRecord(
             msgspec.to_builtins(self.spec),
-            self.folio,
+            self.partition,
             self.status,
             self.done_count,
             self.bound,
@@ -192,7 +192,7 @@
 
 
 class Owner:
-    """Owns the jobs of this controller's folios."""
+    """Owns the jobs of this controller's partitions."""
 
     def __init__(
         self,
@@ -217,8 +217,8 @@
         # Bound, but its holder was not told yet: its room is not off the picture.
         self.untold: dict[tuple[str, int], tuple[Job, Task]] = {}
         self.heeding: set[str] = set()
-        self.folios: set[str] = set()
-        # Until all jobs of a folio are in memory, what its tasks use is not known.
+        self.partitions: set[str] = set()
+        # Until all jobs of a partition are in memory, what its tasks use is not known.
         self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
         self.spot: set[str] = set()
@@ -231,7 +231,7 @@
         self.sync_called = False
         self.told_all: dict[str, float] = {}
         self.rooms: Callable[[], list[Room]] = lambda: []
-        self.taste: Callable[[Spec], Taste] = lambda spec: Taste()
+        self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
         self.ask: Callable[[list[Ask]], Deferred[list[Placed] | None]] | None = None
         self.send: Callable[[str, list[Sync]], Deferred[list[Status] | None]] | None = None
         self.budget: Any = None
@@ -245,17 +245,17 @@
     def _changed(self, key: str) -> None:
         kind, _, name = key.removeprefix("c/").partition("/")
         if kind == "folio":
-            record = self.session.folios.get(name)
+            record = self.session.partitions.get(name)
             if record and record.owner == self.session.me:
-                if name not in self.folios:
-                    self.folios.add(name)
-                    if name != self.session.folio and self.session.started:
-                        log.info("taking over folio {folio}", folio=name)
+                if name not in self.partitions:
+                    self.partitions.add(name)
+                    if name != self.session.partition and self.session.started:
+                        log.info("taking over partition {partition}", partition=name)
                         spawn(self.load(), "taking over")
-            elif name in self.folios:
-                self.folios.discard(name)
+            elif name in self.partitions:
+                self.partitions.discard(name)
                 self.loaded.discard(name)
-                for job in [j for j in self.jobs.values() if j.folio == name]:
+                for job in [j for j in self.jobs.values() if j.partition == name]:
                     self._forget(job)
                 if self.budget:
                     self.budget.forget(name)
@@ -271,20 +271,22 @@
             self._heed(name)
 
     async def load(self) -> None:
-        """Read the jobs of our folios that we don't have in memory yet."""
+        """Read the jobs of our partitions that we don't have in memory yet."""
         while not self.session.lost:
-            folios = set(self.folios)
+            partitions = set(self.partitions)
             try:
                 items, _ = await self.state.scan("job/", ACCEPT)
                 for item in items:
                     record = records.read_job(item)
                     job_id = item.key.removeprefix("job/")
-                    if record.folio not in self.folios or job_id in self.jobs:
+                    if record.partition not in self.partitions or job_id in self.jobs:
                         continue
                     job = await self._restore(record, item.version)
                     self._keep(job)
-                self.loaded |= folios & self.folios
-                log.info("{n} jobs of {folios}", n=len(self.jobs), folios=sorted(self.folios))
+                self.loaded |= partitions & self.partitions
+                log.info(
+                    "{n} jobs of {partitions}", n=len(self.jobs), partitions=sorted(self.partitions)
+                )
                 self.told_all.clear()
                 self.sync()
                 self.pump()
@@ -294,7 +296,7 @@
                 await sleep(self.clock, self.timing.retry)
 
     async def _restore(self, record: JobRecord, version: int) -> Job:
-        job = Job(records.read_spec(record), record.folio, self.per, self.clock.seconds())
+        job = Job(records.read_spec(record), record.partition, self.per, self.clock.seconds())
         job.version, job.status, job.stamp = version, record.status, record.stamp
         chunks = {0: record.chunk}
         if job.spec.tasks > self.per:
@@ -326,7 +328,7 @@
 
     def _keep(self, job: Job) -> bool:
         """Count a restored job in, once; False when it is not ours to keep."""
-        if job.id in self.jobs or job.folio not in self.folios:
+        if job.id in self.jobs or job.partition not in self.partitions:
             return False
         self.jobs[job.id] = job
         for index, task in job.tasks.items():
@@ -374,7 +376,7 @@
 
     async def accept(self, spec: Spec) -> bool:
         """Store a new job, with its first places if there is room; False: it is known."""
-        job = Job(spec, self.session.folio, self.per, self.clock.seconds())
+        job = Job(spec, self.session.partition, self.per, self.clock.seconds())
         self.arriving[spec.id] = job
         try:
             return await self._accept(job)
@@ -415,9 +417,9 @@
                 self._touch(task.machine)
         self.jobs[spec.id] = job
         log.info(
-            "accepted {job} ({lane}): {n} tasks, {placed} placed",
+            "accepted {job} ({job_class}): {n} tasks, {placed} placed",
             job=spec.id,
-            lane=spec.lane,
+            job_class=spec.job_class,
             n=spec.tasks,
             placed=job.bound,
         )
@@ -435,13 +437,13 @@
             await self.adopt(job_id)
 
     async def adopt(self, job_id: str) -> None:
-        """Take a stored job of our folios into memory that is not there."""
+        """Take a stored job of our partitions into memory that is not there."""
         try:
             item = await self.state.get(records.job_key(job_id), PLACE)
             if item is None or job_id in self.jobs or job_id in self.arriving:
                 return
             record = records.read_job(item)
-            if record.folio in self.folios:
+            if record.partition in self.partitions:
                 job = await self._restore(record, item.version)
                 if job_id not in self.arriving and self._keep(job):
                     log.info("adopted {job}", job=job_id)
@@ -493,7 +495,7 @@
             self._forget(job)
             return
         record = records.read_job(item)
-        if record.folio not in self.folios:
+        if record.partition not in self.partitions:
             self._forget(job)
             return
         if item.version >= job.version:
@@ -555,7 +557,7 @@
         changes = [put(key, job.record())]
         conditions = {
             **self.session.fence(),
-            **self.session.folio_fence(job.folio),
+            **self.session.partition_fence(job.partition),
             key: job.version,
         }
         for number in {0, *numbers}:
@@ -619,7 +621,7 @@
             changes.append(drop(records.mark_key(job.id)))
         conditions = {
             **self.session.fence(),
-            **self.session.folio_fence(job.folio),
+            **self.session.partition_fence(job.partition),
             key: job.version,
             end: 0,
         }
@@ -795,7 +797,7 @@
                 self._avoid(job),
                 near,
                 warm_only,
-                self.taste(job.spec),
+                self.preference(job.spec),
             )
             if room is None or not self._bind(job, index, room.name, False):
                 return
@@ -816,7 +818,7 @@
             self._avoid(job),
             near,
             warm_only,
-            self.taste(job.spec),
+            self.preference(job.spec),
         )
         self._bind_group(job, indexes, [(room.name, False) for room in chosen])
         for room in chosen if job.bound else ():
@@ -852,11 +854,11 @@
         self._place_on(machine, job, index, task)
         self.untold[(job.id, index)] = (job, task)
         log.info(
-            "{job}/{index} try {attempt} to {rig}",
+            "{job}/{index} try {attempt} to {machine}",
             job=job.id,
             index=index,
             attempt=task.attempt,
-            rig=machine,
+            machine=machine,
         )
         return True
 
@@ -911,17 +913,17 @@
     def _over_attempt(self, job: Job, index: int, task: Task, status: Status) -> Job:
         now = self.clock.seconds()
         log.info(
-            "{task} try {attempt} on {rig}: {state} {why}",
+            "{task} try {attempt} on {machine}: {state} {why}",
             task=status.task,
             attempt=status.attempt,
-            rig=status.machine,
+            machine=status.machine,
             state=status.state,
             why=status.why or "",
         )
         self._unbind(job, index, task)
         if status.state == ENDED:
             clears = self.clears.setdefault(status.machine, {})
-            clears[(status.task, status.attempt)] = (job.folio, now)
+            clears[(status.task, status.attempt)] = (job.partition, now)
             job.clearing.add(status.machine)
         if status.state == ENDED and status.why == "done" and not job.spec.is_service:
             job.done.setdefault(index // job.per, set()).add(index)
@@ -985,10 +987,10 @@
             self.sync()
 
     def _wants(self, holder: str, machines: set[str] | None) -> list[Sync]:
-        """Per folio all that we want on these machines, or (None) on all of the holder's."""
-        # An empty list of a folio whose jobs are still being read would tell the holder
+        """Per partition all that we want on these machines, or (None) on all of the holder's."""
+        # An empty list of a partition whose jobs are still being read would tell the holder
         # that none of its tasks is wanted, and it would stop them all.
-        wants: dict[str, list[Want]] = {f: [] for f in sorted(self.folios & self.loaded)}
+        wants: dict[str, list[Want]] = {f: [] for f in sorted(self.partitions & self.loaded)}
         names = set(machines) if machines is not None else {*self.on, *self.clears}
         for name in names:
             held = self.session.holder_of(name)
@@ -998,14 +1000,14 @@
                 self._wants_on(name, held[1], wants)
         self.seq += 1
         messages = []
-        for folio, listed in wants.items():
-            record = self.session.folios.get(folio)
+        for partition, listed in wants.items():
+            record = self.session.partitions.get(partition)
             if record:
                 part = None if machines is None else sorted(machines)
                 messages.append(
                     Sync(
                         self.session.me,
-                        folio,
+                        partition,
                         record.version,
                         self.session.inc,
                         self.seq,
@@ -1018,7 +1020,7 @@
     def _wants_on(self, machine: str, number: int, wants: dict[str, list[Want]]) -> None:
         for (job_id, index), (job, task) in self.on.get(machine, {}).items():
             spec = job.spec
-            if job.folio not in wants:
+            if job.partition not in wants:
                 continue
             task.number = number
             self.untold.pop((job_id, index), None)
@@ -1030,7 +1032,7 @@
                 action = STOP
             else:
                 action = RUN
-            wants[job.folio].append(
+            wants[job.partition].append(
                 Want(
                     machine,
                     number,
@@ -1049,11 +1051,11 @@
                 )
             )
         clears = self.clears.get(machine, {})
-        for (name, attempt), (folio, since) in list(clears.items()):
+        for (name, attempt), (partition, since) in list(clears.items()):
             if self.clock.seconds() - since > self.timing.worker_lease * 3:
                 del clears[(name, attempt)]
-            elif folio in wants and self._clearable(name):
-                wants[folio].append(Want(machine, number, name, attempt, CLEAR))
+            elif partition in wants and self._clearable(name):
+                wants[partition].append(Want(machine, number, name, attempt, CLEAR))
 
     def _clearable(self, name: str) -> bool:
         """Only what is stored may be cleared from a machine's memory."""
@@ -1064,7 +1066,7 @@
     def tick(self) -> None:
         for name in self.session.withdrawn & self.jobs.keys():
             self._heed(name)
-        self._drop_empty_folio()
+        self._drop_empty_partition()
         now = self.clock.seconds()
         if self.budget and now - self.yielded_at >= self.timing.report:
             self.yielded_at = now
@@ -1109,29 +1111,31 @@
                         team=team,
                     )
 
-    def _drop_empty_folio(self) -> None:
-        """A former self's folio whose jobs are all over is of no use any more.
+    def _drop_empty_partition(self) -> None:
+        """A former self's partition whose jobs are all over is of no use any more.
 
         Nothing can be accepted into it: its incarnation is fenced out. Left, there would
-        be one more with every restart, in all that lists folios.
+        be one more with every restart, in all that lists partitions.
         """
         session = self.session
         if self.dropping or not self.budget:
             return
-        full = {job.folio for job in (*self.jobs.values(), *self.doubtful.values())}
-        for folio in sorted(self.loaded - full - {session.folio}):
-            if folio in session.folios and self.budget.holds_none(folio):
+        full = {job.partition for job in (*self.jobs.values(), *self.doubtful.values())}
+        for partition in sorted(self.loaded - full - {session.partition}):
+            if partition in session.partitions and self.budget.holds_none(partition):
                 self.dropping = True
-                spawn(self._drop_folio(folio), "dropping a folio")
+                spawn(self._drop_partition(partition), "dropping a partition")
                 return
 
-    async def _drop_folio(self, folio: str) -> None:
+    async def _drop_partition(self, partition: str) -> None:
         try:
-            conditions = {**self.session.fence(), **self.session.folio_fence(folio)}
-            await self.state.multi(conditions, [drop(f"c/folio/{folio}")], CHORE)
-            log.info("folio {folio} is empty: dropped", folio=folio)
+            conditions = {**self.session.fence(), **self.session.partition_fence(partition)}
+            await self.state.multi(conditions, [drop(PARTITION + partition)], CHORE)
+            log.info("partition {partition} is empty: dropped", partition=partition)
         except (Conflict, StateDown, NoLease) as error:
-            log.info("dropping folio {folio} waits: {error}", folio=folio, error=error)
+            log.info(
+                "dropping partition {partition} waits: {error}", partition=partition, error=error
+            )
         await sleep(self.clock, self.timing.repair)
         self.dropping = False
 
--- a/src/beamspar/control/records.py
+++ b/src/beamspar/control/records.py
@@ -34,7 +34,7 @@
 
 class JobRecord(msgspec.Struct):
     spec: dict[str, Any] = msgspec.field(name="s")
-    folio: str = msgspec.field(name="f")
+    partition: str = msgspec.field(name="f")
     status: str = msgspec.field(name="st", default=LIVE)
     done: int = msgspec.field(name="n", default=0)
     running: int = msgspec.field(name="r", default=0)
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -30,6 +30,8 @@
 log = Logger(namespace="session")
 
 CONTROL = "c/"
+# Keys that are stored keep the name that they were first given.
+PARTITION = "c/folio/"
 LEADER = "c/leader"
 
 
@@ -72,7 +74,7 @@
     return record
 
 
-class Folio(msgspec.Struct):
+class Partition(msgspec.Struct):
     """The jobs that one incarnation accepted; they change owner together."""
 
     owner: str
@@ -92,14 +94,14 @@
         self.inc = 0
         self.permit = 0
         self.fence_version = 0
-        self.folio = ""
+        self.partition = ""
         self.revision = 0
         self.renewed_at = -1e9
         self.watched_at = -1e9
         self.values: dict[str, tuple[Any, int]] = {}
         self.dropped: dict[str, int] = {}
         self.blocks: dict[str, Block] = {}
-        self.folios: dict[str, Folio] = {}
+        self.partitions: dict[str, Partition] = {}
         self.block_of: dict[str, str] = {}
         self.withdrawn: set[str] = set()
         self.members: set[str] = set()
@@ -132,9 +134,9 @@
         """The condition that keeps a former self's or a deposed owner's writes out."""
         return {self.fence_key: self.fence_version}
 
-    def folio_fence(self, folio: str) -> dict[str, int]:
-        record = self.folios.get(folio)
-        return {f"c/folio/{folio}": record.version if record else 0}
+    def partition_fence(self, partition: str) -> dict[str, int]:
+        record = self.partitions.get(partition)
+        return {PARTITION + partition: record.version if record else 0}
 
     @property
     def leader(self) -> str | None:
@@ -175,12 +177,12 @@
         await self._load()
         old, version = self.values.get(self.fence_key, ({}, 0))
         inc = int(old.get("inc", 0)) + 1
-        folio = f"{self.me}.{inc}"
+        partition = f"{self.me}.{inc}"
         conditions = {self.fence_key: version}
         changes = [
             put(self.fence_key, {"inc": inc}),
             put(f"c/member/{self.me}", {"inc": inc}, permit),
-            put(f"c/folio/{folio}", {"owner": self.me}),
+            put(PARTITION + partition, {"owner": self.me}),
         ]
         if self.leader == self.me:
             # Our former self led. It is dead, so there is no need to wait out its grant,
@@ -192,7 +194,7 @@
         except InDoubt:
             # It may have been applied: the next round reads what stands and fences it.
             return False
-        self.inc, self.permit, self.fence_version, self.folio = inc, permit, revision, folio
+        self.inc, self.permit, self.fence_version, self.partition = inc, permit, revision, partition
         self.renewed_at = sent
         await self._load()
         return self.values.get(self.fence_key, ({}, 0))[1] == revision
@@ -235,9 +237,9 @@
             if kind == "block":
                 self._apply_block(name, value, version)
             elif kind == "folio":
-                self.folios.pop(name, None)
+                self.partitions.pop(name, None)
                 if value is not None:
-                    self.folios[name] = Folio(str(value["owner"]), version)
+                    self.partitions[name] = Partition(str(value["owner"]), version)
             elif kind == "w":
                 (self.withdrawn.discard if value is None else self.withdrawn.add)(name)
             elif kind == "member":
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -89,7 +89,7 @@
     )
 
 
-class Taste(msgspec.Struct, frozen=True):
+class Preference(msgspec.Struct, frozen=True):
     """What decides among machines that the rule leaves equal."""
 
     # CPUs and memory that each free accelerator of a machine will be asked for.
@@ -98,16 +98,16 @@
     slow: frozenset[str] = frozenset()
 
 
-PLAIN = Taste()
+PLAIN = Preference()
 
 
-def strands(spec: Spec, room: Room, taste: Taste) -> bool:
+def strands(spec: Spec, room: Room, preference: Preference) -> bool:
     """Would this task without accelerators leave some of the machine's without use?"""
     if spec.gpus > EPS or room.gpus < EPS:
         return False
     return (
-        room.cpus - spec.cpus + EPS < room.gpus * taste.per_gpu[0]
-        or room.memory_gb - spec.memory_gb + EPS < room.gpus * taste.per_gpu[1]
+        room.cpus - spec.cpus + EPS < room.gpus * preference.per_gpu[0]
+        or room.memory_gb - spec.memory_gb + EPS < room.gpus * preference.per_gpu[1]
     )
 
 
@@ -124,7 +124,7 @@
     avoid: Collection[str] = (),
     near: Collection[str] = (),
     warm_only: bool = False,
-    taste: Taste = PLAIN,
+    preference: Preference = PLAIN,
 ) -> Room | None:
     """The machine for one more task, or None. `near` wins among cold ones.
 
@@ -140,9 +140,9 @@
         if warm_only and not warm:
             continue
         key = (
-            strands(spec, room, taste),
+            strands(spec, room, preference),
             not warm,
-            not warm and room.kind in taste.slow,
+            not warm and room.kind in preference.slow,
             spec.spot and not room.spot,
             not warm and room.fetching,
             zones.get(room.zone, 0),
@@ -167,7 +167,7 @@
     avoid: Collection[str] = (),
     near: Collection[str] = (),
     warm_only: bool = False,
-    taste: Taste = PLAIN,
+    preference: Preference = PLAIN,
 ) -> list[Room]:
     """Machines for all of a group's tasks, warm ones first, or none at all."""
     best: list[Room] = []
@@ -178,7 +178,7 @@
         taken: list[Room] = []
         there, on = dict(zones), dict(machines)
         while len(taken) < count:
-            room = choose(spec, left, there, on, avoid, near, warm_only, taste)
+            room = choose(spec, left, there, on, avoid, near, warm_only, preference)
             if room is None:
                 break
             room.take(spec)
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -30,9 +30,9 @@
     gpus_max: float = 0.0
 
 
-class Objective(msgspec.Struct, frozen=True, rename={"lane": "class"}):
+class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
     kind: str = ""
-    lane: str = ""
+    job_class: str = ""
     within_s: float = 0.0
     share: float = 0.0
 
@@ -72,9 +72,11 @@
     objectives: list[Objective] = []
     limits: Limits = Limits()
 
-    def start_within(self, lane: str) -> float:
+    def start_within(self, job_class: str) -> float:
         """The time in which the class's tasks should start; 0 where none is set."""
-        found = [o.within_s for o in self.objectives if o.kind == "wait" and o.lane == lane]
+        found = [
+            o.within_s for o in self.objectives if o.kind == "wait" and o.job_class == job_class
+        ]
         return min(found, default=0.0)
 
 
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -235,9 +235,7 @@
         for patience in (5, 4, 3, 2, 1, 0):
             await self._admit(priority, len(changes), weight)
             try:
-                status, data = await self._call(
-                    "POST", "/multi", body, self.limit_s, bool(changes)
-                )
+                status, data = await self._call("POST", "/multi", body, self.limit_s, bool(changes))
                 break
             except Crowded:
                 # It was not executed, so it goes back into the queue. What is urgent does
--- a/src/beamspar/wire.py
+++ b/src/beamspar/wire.py
@@ -32,7 +32,7 @@
     """A job as its user submitted it."""
 
     id: str
-    lane: str
+    job_class: str = msgspec.field(name="lane")
     team: str = msgspec.field(name="owner")
     shape: str
     priority: str = msgspec.field(name="urgency")
@@ -123,7 +123,7 @@
     for name, amount in amounts.items():
         if not math.isfinite(amount) or amount < 0:
             raise BadInput(f"{name} is not an amount")
-    for name, text in (("lane", spec.lane), ("owner", spec.team), ("crate", spec.image)):
+    for name, text in (("lane", spec.job_class), ("owner", spec.team), ("crate", spec.image)):
         if not text or len(text) > 200:
             raise BadInput(f"{name} is empty or too long")
     if spec.kinds is not None and len(spec.kinds) > 64:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -120,13 +120,13 @@
     if "started" in step:
         assert world.checker.starts.get(step["job"]) == step["started"], (where, step)
     if "refused" in step:
-        tombs = [
+        over = [
             state
             for node in world.nodes.values()
-            for rig in (node.holder.rigs.values() if node.holder else ())
-            for state in rig.tombs.values()
+            for machine in (node.holder.machines.values() if node.holder else ())
+            for state in machine.over.values()
         ]
-        assert tombs.count("refused") <= step["refused"], (where, step, tombs.count("refused"))
+        assert over.count("refused") <= step["refused"], (where, step, over.count("refused"))
     if "budget_writes" in step:
         events = [e for _, e in world.state.history if "put" in e]
         writes = sum(1 for e in events if e["put"].startswith("c/budget/"))
@@ -166,7 +166,7 @@
         assert len(late) <= step["sessions"], (where, len(late), late[:5])
     if "holds" in step:
         holder = world.nodes[step["node"]].holder
-        assert holder is not None and len(holder.rigs) >= step["holds"], (where, step)
+        assert holder is not None and len(holder.machines) >= step["holds"], (where, step)
     if "led" in step:
         leaders = [n for n in world.nodes.values() if n.leader and n.leader.ready]
         assert len(leaders) == step["led"], (where, step)
