--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -11,7 +11,6 @@
 from twisted.logger import Logger
 
 from beamspar.control import records
-from beamspar.control.messages import Nudge
 from beamspar.control.records import LIVE, WITHDRAWN, EndRecord, JobRecord
 from beamspar.control.session import Machine
 from beamspar.http import Answer, Call, spawn
@@ -155,9 +154,13 @@
             log.debug("poll of {job}: {error}", job=job, error=error)
             return busy()
         late = self.node.clock.seconds() - asked > self.node.timing.beat * 2
-        if late and found and found["status"] not in (WITHDRAWN, records.DONE):
+        if late and (found is None or found["status"] not in (WITHDRAWN, records.DONE)):
             # The state service's word was held up on its way: others may have told
-            # the user of the job's end meanwhile, and this answer would be older.
+            # the user of the job's end meanwhile, or accepted it: this would be older.
+            return busy()
+        owner = self.node.owner
+        if found is None and owner and (job in owner.arriving or job in owner.doubtful):
+            # It is being accepted here, and may be stored since we looked.
             return busy()
         return reply(404, {"error": "no such job"}) if found is None else reply(200, found)
 
@@ -274,6 +277,7 @@
                     continue
                 record = self._decode(item.value, JobRecord)
                 if record.status == WITHDRAWN:
+                    self.node.confirm(job, item.version)
                     return reply(200, {"id": job, "status": WITHDRAWN})
                 if await self._store_withdrawal(job, item.version, record):
                     return reply(200, {"id": job, "status": WITHDRAWN})
@@ -296,9 +300,7 @@
         session = self.node.session
         if session:
             session.learn(records.mark_key(job), {"t": 1}, revision)
-            partition = session.partitions.get(record.partition)
-            if partition and partition.owner != session.me:
-                spawn(self.node.tell(partition.owner, "nudge", Nudge(job)), "nudge")
+        self.node.confirm(job, revision)
         return True
 
     # -- reports
@@ -326,7 +328,7 @@
                 # It may just be on its way there; the leader knows whether it arrives.
                 node.strays[report.machine] = node.clock.seconds()
             return reply(421, redirect(held[0] if reachable else None))
-        orders = holder.report(report)
-        if orders is None:
+        answer = holder.report(report)
+        if answer is None:
             return reply(503)
-        return reply(200, report_answer(held[1], orders))
+        return reply(200, report_answer(*answer))
--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -39,6 +39,14 @@
     until: float
 
 
+class Doubt(NamedTuple):
+    """A share that a write without an answer may have left us, on top of this version."""
+
+    version: int
+    cpus: float
+    gpus: float
+
+
 class Budget:
     """Owns what the tasks of our partitions use; they count until proven gone."""
 
@@ -49,7 +57,9 @@
         self.teams = {t.name: t for t in settings.facts.teams if t.cpus_max or t.gpus_max}
         self.used: dict[Key, Pair] = {}
         self.short: dict[Key, dict[str, Short]] = {}
-        self.capped: dict[Key, Pair] = {}
+        # The lowest of these holds until the record has moved on: then each write that was
+        # made on top of an older version is in the mirror or can't be applied any more.
+        self.doubts: dict[Key, list[Doubt]] = {}
         self.busy: set[str] = set()
         self.soon: set[str] = set()
         self.loaded: Callable[[], set[str]] = set
@@ -61,9 +71,13 @@
         return (dict(value) if isinstance(value, dict) else {}), version
 
     def share(self, partition: str, team: str) -> Pair:
-        entry = self._record(team)[0].get(partition, (0.0, 0.0))
-        low = self.capped.get((partition, team))
-        return (min(entry[0], low[0]), min(entry[1], low[1])) if low else (entry[0], entry[1])
+        record, version = self._record(team)
+        entry = record.get(partition, (0.0, 0.0))
+        cpus, gpus = float(entry[0]), float(entry[1])
+        for doubt in self.doubts.get((partition, team), ()):
+            if doubt.version == version:
+                cpus, gpus = min(cpus, doubt.cpus), min(gpus, doubt.gpus)
+        return cpus, gpus
 
     def covers(self, job: Any, count: int = 1) -> bool:
         """Is there share for one more task? If not, share for so many is asked for."""
@@ -113,11 +127,11 @@
 
     def forget(self, partition: str) -> None:
         """The partition has another owner now."""
-        for key in {*self.used, *self.short, *self.capped}:
+        for key in {*self.used, *self.short, *self.doubts}:
             if key[0] == partition:
                 self.used.pop(key, None)
                 self.short.pop(key, None)
-                self.capped.pop(key, None)
+                self.doubts.pop(key, None)
 
     def _urgent(self, name: str, partition: str) -> int:
         """The rank (from 1) of the highest work that another partition says it can't start."""
@@ -150,6 +164,12 @@
         """Another took or gave back: what we lack may be there, or we may be asked for it."""
         name = key.removeprefix("c/budget/")
         if key != name and name in self.teams:
+            version = self._record(name)[1]
+            for held, doubts in list(self.doubts.items()):
+                if held[1] == name:
+                    doubts[:] = [doubt for doubt in doubts if doubt.version >= version]
+                    if not doubts:
+                        del self.doubts[held]
             self._soon(name)
 
     def _soon(self, name: str) -> None:
@@ -177,6 +197,8 @@
                 self._start(name)
 
     def _due(self, name: str) -> bool:
+        if self._in_doubt(name):
+            return True
         record, _ = self._record(name)
         return any(
             self._share(partition, self.teams[name], record) != tuple(record.get(partition, ()))
@@ -184,6 +206,10 @@
             if self._ours(partition)
         )
 
+    def _in_doubt(self, name: str) -> bool:
+        """Is there a write without an answer that only another one will settle?"""
+        return any(team == name and self._ours(held) for held, team in self.doubts)
+
     def _ours(self, partition: str) -> bool:
         """Ours, and with all its jobs in memory: before that its use looks like none,
         and its share would be given away under tasks that still run."""
@@ -254,6 +280,8 @@
             f for f in {*record, *(f for f, t in self.short if t == name)} if self._ours(f)
         ]
         conditions = {**self.session.fence(), f"c/budget/{name}": version}
+        moved = self._in_doubt(name)
+        made: list[tuple[Key, Doubt]] = []
         for partition in sorted(partitions):
             share = self._share(partition, team, record)
             conditions.update(self.session.partition_fence(partition))
@@ -261,9 +289,12 @@
                 record.pop(partition, None)
             else:
                 record[partition] = list(share)
-            # Until the write is known, the lower of both shares holds.
-            self.capped[(partition, name)] = (share[0], share[1])
-        changed = record != self._record(name)[0]
+            # Until the write is known, the lower of both shares holds, and of all before
+            # that are not known yet.
+            doubt = Doubt(version, share[0], share[1])
+            made.append(((partition, name), doubt))
+            self.doubts.setdefault((partition, name), []).append(doubt)
+        changed = moved or record != self._record(name)[0]
         try:
             if changed:
                 revision = await self.state.multi(
@@ -272,15 +303,18 @@
                 self.session.learn(f"c/budget/{name}", record, revision)
                 log.info("team {team}: shares {value}", team=name, value=record)
         except InDoubt as error:
-            # It may be applied yet: the caps stay until a later write is known.
+            # It may be applied yet: its shares stay in doubt until the record moves on.
             log.info("budget in doubt: {error}", error=error)
             return
         except (Conflict, StateDown, NoLease) as error:
             log.info("budget waits: {error}", error=error)
         finally:
             self.busy.discard(name)
-        for partition in partitions:
-            self.capped.pop((partition, name), None)
+        for key, doubt in made:
+            if doubt in self.doubts.get(key, ()):
+                self.doubts[key].remove(doubt)
+                if not self.doubts[key]:
+                    del self.doubts[key]
         if changed and any(key[1] == name for key in self.short):
             self.on_share()
 
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -41,12 +41,14 @@
 
 
 class Start:
-    """A start order of ours: in which session, and whether one may still be under way."""
+    """A start order of ours: in which session and under which token, and whether one may
+    still be under way."""
 
-    __slots__ = ("answered", "doubt", "session")
+    __slots__ = ("answered", "doubt", "session", "token")
 
-    def __init__(self, session: int) -> None:
+    def __init__(self, session: int, token: int) -> None:
         self.session = session
+        self.token = token
         self.answered = False
         self.doubt = False
 
@@ -57,6 +59,8 @@
     def __init__(self, info: Machine, number: int, now: float, answered: float) -> None:
         self.info = info
         self.number = number
+        # What our orders carry: the number, or what voids those of ours that are in doubt.
+        self.token = number
         self.session = 0
         self.seq = -1
         self.report_seq = (0, -1)
@@ -73,7 +77,8 @@
         self.images: dict[str, float] = {}
         # When somebody entitled may have answered its worker last.
         self.last_answer = answered
-        self.last_heard = now
+        # Its own reports only: one that can't reach us answers orders all the same.
+        self.reported_at = now
         self.idle_since = now
         self.min_session = 0
         self.notice_s: float | None = None
@@ -105,6 +110,15 @@
             return want.image not in self.images
         return report.status == "fetching"
 
+    def in_doubt(self, key: Key) -> bool:
+        """May a start of ours still be under way that the worker would carry out?"""
+        start = self.starts.get(key)
+        return start is not None and start.doubt and not self.void(start)
+
+    def void(self, start: Start) -> bool:
+        """Has the worker told us that it takes no order as old as this one any more?"""
+        return self.fresh and start.token < self.token
+
     def live(self, key: Key) -> bool:
         """Does this attempt take room, now or as soon as it may?"""
         if key in self.over:
@@ -207,8 +221,8 @@
 
     # -- reports
 
-    def report(self, report: Report) -> list[dict[str, Any]] | None:
-        """Take in a worker's own report; the orders to answer with, None for 'not mine'."""
+    def report(self, report: Report) -> tuple[int, list[dict[str, Any]]] | None:
+        """Take in a worker's own report; token and orders to answer with, None for 'not mine'."""
         machine = self.held(report.machine)
         if machine is None:
             return None
@@ -220,15 +234,18 @@
             # answered would put off the proof that a silent worker's lease ran out.
             log.info("{machine}: late copy of a report", machine=report.machine)
             return None
-        if report.token > machine.number:
+        if report.token > machine.token:
             log.info("{machine} knows a higher number {n}", machine=report.machine, n=report.token)
             return None
         machine.report_seq = (report.session, report.seq)
+        machine.reported_at = self.clock.seconds()
         self._absorb(machine, report)
         self._answered(machine)
+        # Stops ride on every answer while they are due: an order of ours may be waiting for
+        # a machine that hangs, and while it does no other is sent.
         commands = self._commands(machine)
         self.step(machine)
-        return commands if machine.failed_orders else []
+        return machine.token, commands
 
     def _absorb(self, machine: HeldMachine, report: Report) -> None:
         """Believe a report as far as it is newer, and an absence only when fresh."""
@@ -249,11 +266,10 @@
             if machine.session:
                 log.info("{machine}: session {s}", machine=report.machine, s=report.session)
         machine.session, machine.seq = report.session, report.seq
-        machine.last_heard = now
         machine.lost = False
         fresh, noticed = machine.fresh, machine.notice_s
         machine.notice_s = report.notice_s
-        machine.fresh = machine.fresh or report.token == machine.number
+        machine.fresh = machine.fresh or report.token == machine.token
         old = machine.tasks
         machine.tasks = {(t.parcel, t.attempt): t for t in report.tasks}
         news = [
@@ -402,7 +418,7 @@
         if task is None:
             return None
         if task.status == "ended":
-            if want.action == CLEAR and machine.starts.get(key) and machine.starts[key].doubt:
+            if want.action == CLEAR and machine.in_doubt(key):
                 return Status(name, number, key[0], key[1], KEPT)
             return Status(name, number, key[0], key[1], ENDED, task.why, bool(task.saved))
         return Status(name, number, key[0], key[1], task.status)
@@ -439,6 +455,9 @@
             and machine.notice_s is None
             and not machine.retiring
             and machine.sick_until <= self.clock.seconds()
+            # Nor is one that hears no orders, or whose lease runs out for want of reports.
+            and machine.failed_orders < 2
+            and self.clock.seconds() - machine.reported_at < self.timing.silent
         )
 
     def _free(self, machine: HeldMachine, but: Key | None = None) -> tuple[float, float, float]:
@@ -495,13 +514,12 @@
     def _commands(self, machine: HeldMachine) -> list[dict[str, Any]]:
         """Orders that the difference between wants and reports calls for."""
         commands = []
-        withdrawn = self.session.withdrawn
         for key, task in machine.tasks.items():
             if task.status == "ended":
                 continue
             want = machine.wants.get(key)
             job = key[0].partition("/")[0]
-            if job in withdrawn:
+            if self.session.is_withdrawn(job):
                 grace: float | None = 0.0
             elif key in machine.unwanted:
                 grace = 0.0
@@ -518,8 +536,7 @@
                 commands.append(order_stop(key[0], key[1], grace))
         for key, task in machine.tasks.items():
             want = machine.wants.get(key)
-            doubt = key in machine.starts and machine.starts[key].doubt
-            if task.status == "ended" and not doubt:
+            if task.status == "ended" and not machine.in_doubt(key):
                 # After a clear the worker has forgotten the attempt, so a start
                 # still under way would run it once more: never clear in doubt.
                 if (want and want.action == CLEAR) or key in machine.unwanted:
@@ -532,13 +549,14 @@
             if key in machine.tasks or key in machine.over or not machine.fresh:
                 continue
             start = machine.starts.get(key)
+            withdrawn = self.session.is_withdrawn(key[0].partition("/")[0])
             if start is not None and start.answered and not start.doubt:
                 # It was there, and a newer report does not list it.
                 self._bury(machine, key, GONE)
             elif want.action == HOLD:
                 if not self._usable(machine) or not (want.evict or self._fits(machine, key, want)):
                     self._bury(machine, key, REFUSED)
-            elif want.action == RUN and key[0].partition("/")[0] not in self.session.withdrawn:
+            elif want.action == RUN and not withdrawn:
                 if start is not None:
                     commands.append(order_start(*key))
                 elif not self._usable(machine):
@@ -551,21 +569,39 @@
                 # A fresh report does not list it, older numbers are fenced out and
                 # this one never sent it.
                 self._bury(machine, key, GONE)
-            elif not start.answered or start.doubt:
-                # Settle the doubt: the same start again, then its end.
-                commands.append(order_start(*key))
-                commands.append(order_stop(key[0], key[1], 0.0))
+            elif machine.void(start):
+                self._bury(machine, key, GONE)
+            elif not machine.ordering:
+                self._raise_token(machine)
+                return commands
         for key in list(machine.unwanted):
             if key in machine.over or key in machine.tasks or not machine.fresh:
                 continue
             start = machine.starts.get(key)
-            if start is None or (start.answered and not start.doubt):
+            if start is None or (start.answered and not start.doubt) or machine.void(start):
                 machine.unwanted.discard(key)
-            else:
-                commands.append(order_start(*key))
-                commands.append(order_stop(key[0], key[1], 0.0))
+            elif not machine.ordering:
+                self._raise_token(machine)
+                return commands
         return commands
 
+    def _raise_token(self, machine: HeldMachine) -> None:
+        """A start that nobody wants any more may still be under way: make it void.
+
+        The machine is ours by all that the mirror holds, so a lease that we don't know of is
+        newer than that, and so is its number: up to the mirror's revision the token is ours to
+        raise. Repeating the start to stop it at once would start what its user has cancelled.
+        """
+        if self.session.revision > machine.token:
+            machine.token = self.session.revision
+            machine.fresh = False
+            machine.touch()
+            log.info(
+                "{machine}: token raised to {token}, to void starts in doubt",
+                machine=machine.info.name,
+                token=machine.token,
+            )
+
     def _bury(self, machine: HeldMachine, key: Key, state: str) -> None:
         machine.over[key] = state
         if len(machine.over) > MOST_OVER:
@@ -589,40 +625,43 @@
         machine.calm = (
             machine.fresh
             and not commands
+            and not machine.failed_orders
             and not machine.unwanted
             and all(key in machine.wants for key in machine.tasks)
         )
         if machine.ordering or now < machine.next_order:
             return
-        if not machine.fresh or commands:
+        # One that has not answered orders is asked again, or it would stay out of use.
+        if not machine.fresh or commands or machine.failed_orders:
             machine.ordering = True
             spawn(self._send(machine, commands if machine.fresh else []), "orders")
 
     async def _send(self, machine: HeldMachine, commands: list[dict[str, Any]]) -> None:
-        session = machine.session
+        session, token = machine.session, machine.token
         sent = []
         for command in commands:
             if command["verb"] == "start":
                 key = (command["parcel"], command["try"])
-                start = machine.starts.setdefault(key, Start(session))
-                start.session = session
+                start = machine.starts.setdefault(key, Start(session, token))
+                if machine.void(start):
+                    start.doubt = start.answered = False
+                start.session, start.token = session, token
                 sent.append((key, start))
                 log.info(
                     "start {task} try {attempt} on {machine} under {number}",
                     task=key[0],
                     attempt=key[1],
                     machine=machine.info.name,
-                    number=machine.number,
+                    number=token,
                 )
         try:
-            done, report = await self.workers.order(
-                machine.info.address, machine.number, session, commands
-            )
+            done, report = await self.workers.order(machine.info.address, token, session, commands)
         except CallFailed as error:
             for _, start in sent:
                 start.doubt = True
             machine.failed_orders += 1
-            machine.next_order = self.clock.seconds() + self.timing.retry
+            pause = self.timing.retry if commands else self.timing.report
+            machine.next_order = self.clock.seconds() + pause
             log.info("orders to {machine} failed: {error}", machine=machine.info.name, error=error)
             machine.ordering = False
             return
@@ -653,8 +692,11 @@
         now = self.clock.seconds()
         if not self.session.valid():
             return
+        # Another may hold a machine since the mirror was last known to be whole, and answer
+        # its worker: a controller that was frozen took machines for silent that had moved.
+        known = min(now, self.session.watched_at)
         for machine in list(self.machines.values()):
-            if not machine.lost and now > machine.last_answer + self.timing.worker_gone:
+            if not machine.lost and known > machine.last_answer + self.timing.worker_gone:
                 self._lose(machine)
             if machine.calm:
                 continue
@@ -675,13 +717,6 @@
         machine.touch()
         self._tell(machine)
 
-    def returned(self, name: str) -> None:
-        """The cloud has confirmed that the machine and all on it are gone."""
-        machine = self.machines.get(name)
-        if machine is not None and not machine.lost:
-            machine.min_session = 1 << 62
-            self._lose(machine)
-
     def _check_strangers(self, machine: HeldMachine, now: float) -> None:
         for key in list(machine.strangers):
             if key not in machine.tasks or key in machine.wants:
@@ -762,7 +797,7 @@
         views = []
         for machine in self.machines.values():
             room = self._room(machine)
-            silent = now - machine.last_heard
+            silent = now - machine.reported_at
             if silent > self.timing.silent / 2 or machine.was_silent:
                 # Told while it lasts, and once more when it is over.
                 machine.was_silent = silent > self.timing.silent / 2
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -96,6 +96,9 @@
         # The largest job of each class of late, and when it was seen.
         self.largest: dict[str, tuple[int, float]] = {}
         self.leading_since: float | None = None
+        # The grant behind the lead, and the revision by which it is ours.
+        self.permit = 0
+        self.elected_at = 0
         self.electing = False
         self.leasing = False
         self.renting = False
@@ -115,6 +118,10 @@
         """Rebuilt: every live member was heard, or has had the time to speak."""
         if not self.leading or self.leading_since is None or not self.session.valid():
             return False
+        if self.session.revision < self.elected_at:
+            # What a former leader wrote last is not in the mirror yet: a machine that it
+            # has leased would look new, and get into a second block.
+            return False
         if self.clock.seconds() - self.leading_since > self.timing.report:
             return True
         heard = {m for m, p in self.pictures.items() if p.at >= self.leading_since}
@@ -133,6 +140,7 @@
         except (Conflict, StateDown, NoLease) as error:
             log.info("not elected: {error}", error=error)
         else:
+            self.permit, self.elected_at = permit, revision
             self.session.learn(LEADER, value, revision)
             log.info("{me} leads", me=self.session.me)
             spawn(self._keep_leading(permit), "keeping the lead")
@@ -184,9 +192,23 @@
 
     # -- blocks
 
-    def _terms(self) -> dict[str, int]:
-        """Conditions under which a leader's write counts."""
-        return {**self.session.fence(), LEADER: self.session.values.get(LEADER, (0, 0))[1]}
+    async def _commit(self, conditions: dict[str, int], changes: list[dict[str, Any]]) -> int:
+        """One write of the leader's; it counts while it leads.
+
+        Each checks the lead's record and writes it anew, so that all are in one order: one
+        that got no answer can't be applied after a newer one. Two leases of the same new
+        machine, grouped differently, would each have found their own key free.
+        """
+        value, version = self.session.values.get(LEADER, (None, 0))
+        if value is None or value.get("name") != self.session.me:
+            raise NoLease("the lead has passed on")
+        revision = await self.state.multi(
+            {**self.session.fence(), **conditions, LEADER: version},
+            [*changes, put(LEADER, value, self.permit)],
+            URGENT,
+        )
+        self.session.learn(LEADER, value, revision)
+        return revision
 
     async def _lease(self) -> None:
         try:
@@ -220,11 +242,11 @@
         for dead in sorted((owners | holders) - self.session.members):
             fence_key = f"c/fence/{dead}"
             old, version = self.session.values.get(fence_key, ({}, 0))
-            terms = {**self._terms(), f"c/member/{dead}": 0}
+            terms = {f"c/member/{dead}": 0}
             if not old.get("dead"):
                 value: dict[str, Any] = {"inc": int(old.get("inc", 0)) + 1, "dead": True}
-                revision = await self.state.multi(
-                    {**terms, fence_key: version}, [put(fence_key, value)], URGENT
+                revision = await self._commit(
+                    {**terms, fence_key: version}, [put(fence_key, value)]
                 )
                 self.session.learn(fence_key, value, revision)
                 log.warn("{dead} is dead: its jobs and blocks move", dead=dead)
@@ -255,21 +277,23 @@
                 return True
         return False
 
-    async def _write(self, changes: list[tuple[str, Any]], terms: dict[str, int]) -> None:
+    async def _write(
+        self, changes: list[tuple[str, Any]], terms: dict[str, int] | None = None
+    ) -> None:
         while changes:
             most, size = 0, 0.0
-            for _, value in changes[: self.settings.facts.state.txn_ops]:
+            for _, value in changes[: self.settings.facts.state.txn_ops - 1]:
                 size += len(orjson.dumps(value)) / 1024
                 if most and size > records.TXN_KB * records.MARGIN:
                     # Blocks of a very large fleet: more of them than one transaction holds.
                     break
                 most += 1
             part, changes = changes[:most], changes[most:]
-            conditions = dict(terms)
+            conditions = dict(terms or {})
             for key, _ in part:
                 conditions[key] = self.session.values.get(key, (None, 0))[1]
             puts = [drop(k) if v is None else put(k, v) for k, v in part]
-            revision = await self.state.multi(conditions, puts, URGENT)
+            revision = await self._commit(conditions, puts)
             for key, value in part:
                 if value is not None:
                     self.session.learn(key, value, revision)
@@ -321,7 +345,7 @@
                     zone=zone,
                     holder=holder,
                 )
-        await self._write(changes, self._terms())
+        await self._write(changes)
 
     async def _drop_returned(self) -> None:
         """The cloud has confirmed these are gone: without a block their tasks are too."""
@@ -336,7 +360,7 @@
             else:
                 changes.append((f"c/block/{name}", None))
         if changes:
-            await self._write(changes, self._terms())
+            await self._write(changes)
 
     def _out_of_reach(self, member: str) -> bool:
         since = self.unreached(member)
@@ -385,7 +409,7 @@
             if len(changes) >= max(self.settings.facts.state.txn_ops // 4, 1):
                 break
         if changes:
-            await self._write(changes, self._terms())
+            await self._write(changes)
 
     async def _adopt_strays(self) -> None:
         """Machines whose holder we don't hear, or that it does not hear, go to whom they come to.
@@ -418,7 +442,7 @@
             log.info("moving {name}, a stray of {a}, to {b}", name=name, a=block.holder, b=member)
             changes.append((f"c/block/{name}", block_record(member, block.machines, live=True)))
         if changes:
-            await self._write(changes, self._terms())
+            await self._write(changes)
 
     # -- summaries and loans
 
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -173,10 +173,10 @@
     headers: list[tuple[str, str]] = []
 
 
-class Nudge(msgspec.Struct):
-    """A job was withdrawn: its owner should look now."""
+class Withdrawals(msgspec.Struct):
+    """Jobs whose withdrawal is stored, and the revision by which it was. It is final."""
 
-    job: str
+    jobs: dict[str, int]
 
 
 def encode(message: Any) -> bytes:
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -22,7 +22,6 @@
     Asks,
     Directions,
     JobClass,
-    Nudge,
     Offers,
     Placed,
     Pulse,
@@ -32,6 +31,7 @@
     Statuses,
     Summary,
     Sync,
+    Withdrawals,
     decode,
     encode,
 )
@@ -87,6 +87,9 @@
         self.caches_known = 0
         # When the state service served each sibling last, by its own word.
         self.served: dict[str, float] = {}
+        # Confirmed withdrawals that a sibling has not acknowledged; kept beyond our standing.
+        self.unheard: dict[str, dict[str, int]] = {m: {} for m in self.peers}
+        self.spreading: set[str] = set()
         self.pulsing = False
         self.beating = False
         self.beat_to, self.beat_known = "", 0
@@ -269,6 +272,7 @@
         if not self.pulsing:
             self.pulsing = True
             spawn(self._take_pulses(), "pulses")
+        self._spread()
         try:
             session = self.session
             if session is None or not session.started or session.lost:
@@ -316,6 +320,43 @@
             return False
         return True
 
+    def confirm(self, job: str, revision: int) -> None:
+        """A user is about to be told that the job is withdrawn: all members should know.
+
+        The state service tells them too, unless it refuses them alone or is out; they may
+        own the job or hold its machines, and go on with both until their leases end.
+        """
+        if self.session is not None and not self.session.lost:
+            self.session.hear({job: revision})
+        for pending in self.unheard.values():
+            pending[job] = revision
+        self._spread()
+
+    def _spread(self) -> None:
+        """Tell what a sibling has not acknowledged, until the mirror shows the job's end."""
+        session = self.session
+        for member, pending in self.unheard.items():
+            if session is not None and session.started:
+                for job in [j for j, at in pending.items() if at <= session.revision]:
+                    if job not in session.withdrawn:
+                        del pending[job]
+            if pending and member not in self.spreading:
+                self.spreading.add(member)
+                spawn(self._spread_to(member), "telling withdrawals")
+
+    async def _spread_to(self, member: str) -> None:
+        jobs = dict(self.unheard[member])
+        try:
+            told = await self.tell(member, "withdrawn", Withdrawals(jobs))
+        finally:
+            self.spreading.discard(member)
+        if told:
+            pending = self.unheard[member]
+            for job, revision in jobs.items():
+                if pending.get(job) == revision:
+                    del pending[job]
+            self._spread()
+
     def _push(self, owner: str, statuses: list[Status]) -> None:
         """What is told in one turn goes together: many machines are often lost at once."""
         if not self.pushes:
@@ -494,8 +535,8 @@
         if name == "beat":
             directions: Directions = self.leader.beat(decode(body, Summary))
             return encode(directions)
-        if name == "nudge":
-            nudge: Nudge = decode(body, Nudge)
-            spawn(self.owner.withdraw(nudge.job), "withdrawal")
+        if name == "withdrawn":
+            withdrawals: Withdrawals = decode(body, Withdrawals)
+            self.session.hear(withdrawals.jobs)
             return b"{}"
         raise KeyError(name)
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -54,6 +54,8 @@
 
 # Waiting jobs that are placed in one round.
 AT_ONCE = 64
+# Looks at an accept in doubt before it is made sure that it can't be applied any more.
+LOOKS = 3
 
 
 class Task:
@@ -216,8 +218,10 @@
         self.clears: dict[str, dict[tuple[str, int], tuple[str, float]]] = {}
         # Bound, but its holder was not told yet: its room is not off the picture.
         self.untold: dict[tuple[str, int], tuple[Job, Task]] = {}
-        self.heeding: set[str] = set()
         self.partitions: set[str] = set()
+        # Reads of jobs under way, and jobs that ended meanwhile: what was read is older.
+        self.reading = 0
+        self.ended: set[str] = set()
         # Until all jobs of a partition are in memory, what its tasks use is not known.
         self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
@@ -272,6 +276,18 @@
 
     async def load(self) -> None:
         """Read the jobs of our partitions that we don't have in memory yet."""
+        self.reading += 1
+        try:
+            await self._load()
+        finally:
+            self._read()
+
+    def _read(self) -> None:
+        self.reading -= 1
+        if not self.reading:
+            self.ended.clear()
+
+    async def _load(self) -> None:
         while not self.session.lost:
             partitions = set(self.partitions)
             try:
@@ -328,7 +344,7 @@
 
     def _keep(self, job: Job) -> bool:
         """Count a restored job in, once; False when it is not ours to keep."""
-        if job.id in self.jobs or job.partition not in self.partitions:
+        if job.id in self.jobs or job.partition not in self.partitions or job.id in self.ended:
             return False
         self.jobs[job.id] = job
         for index, task in job.tasks.items():
@@ -337,11 +353,16 @@
         if self.budget:
             self.budget.restore(job)
         self._settled(job.id)
+        if self.session.is_withdrawn(job.id):
+            # Stored after what we read of it.
+            self._heed(job.id)
         return True
 
-    def _forget(self, job: Job) -> None:
+    def _forget(self, job: Job, ended: bool = False) -> None:
         """The job is over, or another's: nothing of it is ours to speak for."""
         self.jobs.pop(job.id, None)
+        if ended and self.reading:
+            self.ended.add(job.id)
         for index, task in job.tasks.items():
             if task.machine is not None:
                 self._take_off(task.machine, job, index)
@@ -389,6 +410,7 @@
         job.stamp = self._stamp()
         conditions = {
             **self.session.fence(),
+            **self.session.partition_fence(job.partition),
             records.job_key(spec.id): 0,
             records.end_key(spec.id): 0,
         }
@@ -423,21 +445,56 @@
             n=spec.tasks,
             placed=job.bound,
         )
+        if self.session.is_withdrawn(job.id):
+            # Another controller read what we wrote, and its answer was the faster one.
+            self._heed(job.id)
         self._flush(job)
         if job.waiting(self.clock.seconds(), 1):
             self.pump()
         return True
 
     async def _settle(self, job_id: str) -> None:
-        """An accept without an answer may have been applied, or may be yet."""
-        for _ in range(8):
+        """An accept without an answer may have been applied, or may be yet, minutes late.
+
+        Its use of the team's limit counts until its fate is known. After a few looks our
+        partition's record is written anew: accepts check it, so no late one is applied then.
+        """
+        looks, void = 0, False
+        while job_id in self.doubtful and not self.session.lost:
             await sleep(self.clock, self.timing.report)
-            if self.session.lost or job_id in self.jobs:
-                return
-            await self.adopt(job_id)
+            looks += 1
+            try:
+                if looks > LOOKS and not void:
+                    await self._renew_partition()
+                    void = True
+                if await self._is_stored(job_id) or void:
+                    self._settled(job_id)
+            except (Conflict, StateDown, NoLease) as error:
+                log.info("accept of {job} stays in doubt: {error}", job=job_id, error=error)
+
+    async def _is_stored(self, job_id: str) -> bool:
+        """Is the job's record known, as ours, another's or over?"""
+        item = await self.state.get(records.job_key(job_id), PLACE)
+        if item is None:
+            return await self.state.get(records.end_key(job_id), PLACE) is not None
+        if records.read_job(item).partition not in self.partitions:
+            return True
+        await self.adopt(job_id)
+        return job_id in self.jobs
+
+    async def _renew_partition(self) -> None:
+        key = PARTITION + self.session.partition
+        value = {"owner": self.session.me}
+        conditions = {
+            **self.session.fence(),
+            **self.session.partition_fence(self.session.partition),
+        }
+        revision = await self.state.multi(conditions, [put(key, value)], PLACE)
+        self.session.learn(key, value, revision)
 
     async def adopt(self, job_id: str) -> None:
         """Take a stored job of our partitions into memory that is not there."""
+        self.reading += 1
         try:
             item = await self.state.get(records.job_key(job_id), PLACE)
             if item is None or job_id in self.jobs or job_id in self.arriving:
@@ -451,6 +508,8 @@
                     self.pump()
         except StateDown as error:
             log.info("adopting {job} waits: {error}", job=job_id, error=error)
+        finally:
+            self._read()
 
     def _settled(self, job_id: str) -> None:
         """The job's record is known now; an accept in doubt counts no longer."""
@@ -469,20 +528,23 @@
         return f"{self.session.me}.{self.session.inc}.{self.writes}"
 
     def _heed(self, job_id: str) -> None:
-        """A withdrawal that somebody has stored; read back until we know its record."""
-        job = self.jobs.get(job_id)
-        if job is not None and job.status == LIVE and job_id not in self.heeding:
-            self.heeding.add(job_id)
-            spawn(self.withdraw(job_id), "withdrawal")
-
-    async def withdraw(self, job_id: str) -> None:
-        """A withdrawal of a job of ours that somebody has stored."""
+        """A withdrawal that somebody has stored: final, so it needs no read to be heeded."""
         job = self.jobs.get(job_id)
         if job is not None and job.status == LIVE:
-            try:
-                await self._reread(job)
-            finally:
-                self.heeding.discard(job_id)
+            self._withdrawn(job)
+            # Its write moved our record; the job's end is to be written on top of it.
+            spawn(self._catch_up(job), "withdrawal")
+
+    async def _catch_up(self, job: Job) -> None:
+        await self._reread(job)
+        self._flush(job)
+
+    def _withdrawn(self, job: Job) -> None:
+        log.info("{job} is withdrawn", job=job.id)
+        job.status = WITHDRAWN
+        self._drop_unstored(job)
+        job.again.clear()
+        self._touch_all(job)
 
     async def _reread(self, job: Job) -> None:
         """The stored record moved under us: learn what it says now."""
@@ -490,9 +552,11 @@
             item = await self.state.get(records.job_key(job.id), PLACE)
         except StateDown:
             return
+        if self.jobs.get(job.id) is not job:
+            return
         if item is None:
             log.info("{job} is over", job=job.id)
-            self._forget(job)
+            self._forget(job, ended=True)
             return
         record = records.read_job(item)
         if record.partition not in self.partitions:
@@ -501,11 +565,7 @@
         if item.version >= job.version:
             job.version = item.version
         if record.status == WITHDRAWN and job.status == LIVE:
-            log.info("{job} is withdrawn", job=job.id)
-            job.status = WITHDRAWN
-            self._drop_unstored(job)
-            job.again.clear()
-            self._touch_all(job)
+            self._withdrawn(job)
             self._flush(job)
 
     def _touch_all(self, job: Job) -> None:
@@ -637,7 +697,7 @@
                 await self._reread(job)
             return job.id not in self.jobs
         log.info("{job} is {status}", job=job.id, status=status)
-        self._forget(job)
+        self._forget(job, ended=True)
         if job.chunk_versions:
             spawn(self._drop_chunks(job), "dropping chunks")
         return True
@@ -932,7 +992,7 @@
         if job.spec.is_gang:
             # Its other members are to be stopped now.
             self._touch_all(job)
-        if job.status == LIVE and job.id in self.session.withdrawn:
+        if job.status == LIVE and self.session.is_withdrawn(job.id):
             # The holder knew of the withdrawal before we did: not to be bound once more.
             self._heed(job.id)
         elif job.status == LIVE:
@@ -1064,7 +1124,7 @@
         return job is None or (not job.writing and int(index) // job.per not in job.dirty)
 
     def tick(self) -> None:
-        for name in self.session.withdrawn & self.jobs.keys():
+        for name in (self.session.withdrawn | self.session.told.keys()) & self.jobs.keys():
             self._heed(name)
         self._drop_empty_partition()
         now = self.clock.seconds()
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -103,7 +103,10 @@
         self.blocks: dict[str, Block] = {}
         self.partitions: dict[str, Partition] = {}
         self.block_of: dict[str, str] = {}
+        # Jobs that their users withdrew and that are not over yet: by the mirror, and by the
+        # word of the controller that confirmed it, with the revision of its write.
         self.withdrawn: set[str] = set()
+        self.told: dict[str, int] = {}
         self.members: set[str] = set()
         # When this process saw a member's grant end, and who held a machine before.
         self.ended: dict[str, float] = {}
@@ -138,6 +141,28 @@
         record = self.partitions.get(partition)
         return {PARTITION + partition: record.version if record else 0}
 
+    def is_withdrawn(self, job: str) -> bool:
+        return job in self.withdrawn or job in self.told
+
+    def hear(self, jobs: dict[str, int]) -> None:
+        """Withdrawals that a sibling has stored, though the state service may fail us.
+
+        A stored withdrawal is final, so it is heeded without a read. Our mirror tells all
+        that is older than itself: a job that is over by then has no mark any more.
+        """
+        for job, revision in jobs.items():
+            if revision > self.revision and not self.is_withdrawn(job):
+                self.told[job] = revision
+                for listener in self.listeners:
+                    listener(f"{CONTROL}w/{job}")
+
+    def _caught_up(self, revision: int) -> None:
+        """The mirror holds all changes up to this one. Set after they were taken in: a holder
+        relies on being one by all that the mirror has."""
+        self.revision = max(self.revision, revision)
+        for job in [j for j, at in self.told.items() if at <= self.revision]:
+            del self.told[job]
+
     @property
     def leader(self) -> str | None:
         value = self.values.get(LEADER)
@@ -209,7 +234,7 @@
         for key, (value, version) in fresh.items():
             if self.values.get(key, (None, 0))[1] != version:
                 self._apply(key, value, version)
-        self.revision = revision
+        self._caught_up(revision)
         self.watched_at = sent
 
     # -- mirror
@@ -325,13 +350,13 @@
                 events, revision = await self.state.watch(CONTROL, self.revision, self.timing.hold)
                 if self.lost:
                     return
-                self.revision = max(self.revision, revision)
-                self.watched_at = sent
                 for event in events:
                     if event.put is not None:
                         self.learn(event.put, event.value, event.version)
                     elif event.drop is not None:
                         self._apply(event.drop, None, event.version)
+                self._caught_up(revision)
+                self.watched_at = sent
             except Compacted:
                 try:
                     await self._load()
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
+from beamspar.wire import unpack
 from tests.standins.clock import SimClock
 
 FINAL = ("done", "withdrawn")
@@ -18,7 +20,13 @@
         self.on: dict[str, set[tuple[str, int]]] = {}
         self.where: dict[str, tuple[str, str, bool]] = {}
         self.done: dict[str, set[int]] = {}
-        self.accepted: set[str] = set()
+        self.accepted: dict[str, float] = {}
+        # Submissions that must not be taken: they fit nothing or lack a field.
+        self.bad: set[str] = set()
+        # When a question about a job was answered last; since when one waits for no reason.
+        self.heard: dict[str, float] = {}
+        self.waiting: dict[str, float] = {}
+        self.finished: Callable[[str], None] = lambda job: None
         self.asked: set[str] = set()
         self.told: dict[str, tuple[str, float]] = {}
         self.started = 0
@@ -61,21 +69,35 @@
         if told and told[0] == "withdrawn" and self.clock.seconds() > told[1] + self.cancel_s:
             self._break("ran_cancelled", f"{task} starts on {machine}")
 
+    def ordered(self, body: bytes) -> None:
+        """Orders as they leave a controller: none may start what a user saw cancelled."""
+        for order in unpack(body)["orders"]:
+            told = self.told.get(order["parcel"].partition("/")[0])
+            if order["verb"] == "start" and told and told[0] == "withdrawn":
+                self._break("started_cancelled", order["parcel"])
+
     def stop(self, task: str, attempt: int, machine: str) -> None:
         self.on.get(task, set()).discard((machine, attempt))
 
     def finish(self, task: str) -> None:
         job, _, index = task.partition("/")
         self.done.setdefault(job, set()).add(int(index))
+        if len(self.done[job]) == self.jobs[job]["parcels"]:
+            self.finished(job)
 
-    def _quota(self, team: str) -> None:
-        cpus_max, gpus_max = self.limits.get(team, (0.0, 0.0))
+    def use(self, team: str) -> tuple[float, float]:
+        """CPUs and accelerators that the team's tasks take now."""
         cpus = gpus = 0.0
         for task, places in self.on.items():
             spec = self.jobs[task.partition("/")[0]]
             if spec["owner"] == team:
                 cpus += spec["cpus"] * len(places)
                 gpus += spec["accelerators"] * len(places)
+        return cpus, gpus
+
+    def _quota(self, team: str) -> None:
+        cpus_max, gpus_max = self.limits.get(team, (0.0, 0.0))
+        cpus, gpus = self.use(team)
         if (cpus_max and cpus > cpus_max + 1e-6) or (gpus_max and gpus > gpus_max + 1e-6):
             self._break("quota", f"{team} uses {cpus} cpus and {gpus} gpus")
 
@@ -83,20 +105,25 @@
 
     def submitted(self, job: str, status: int) -> None:
         if status in (200, 201):
-            self.accepted.add(job)
+            self.accepted.setdefault(job, self.clock.seconds())
+            if job in self.bad:
+                self._break("took_bad", job)
         elif status in (400, 422) and job in self.accepted:
             self._break("forgotten", f"{job} submitted again gets {status}")
 
     def answered(self, job: str, status: int, data: Any, asked: float | None = None) -> None:
         """An answer; one asked for before the user was told of the end may be older."""
+        now = self.clock.seconds()
         if status == 404 and job in self.accepted:
-            self._break("forgotten", f"{job} gets 404")
+            if asked is None or asked >= self.accepted[job]:
+                self._break("forgotten", f"{job} gets 404")
         if status != 200:
             return
         if job not in self.asked:
             self._break("invented", job)
             return
-        self.accepted.add(job)
+        self.accepted.setdefault(job, now)
+        self.heard[job] = now
         state = data["status"]
         old = self.told.get(job, ("", 0.0))[0]
         overlapping = asked is not None and asked < self.told.get(job, ("", 0.0))[1]
@@ -105,7 +132,24 @@
         if state == "done" and len(self.done.get(job, set())) < self.jobs[job]["parcels"]:
             self._break("not_done", f"{job}: {sorted(self.done.get(job, set()))}")
         if state in FINAL and old not in FINAL:
-            self.told[job] = (state, self.clock.seconds())
+            self.told[job] = (state, now)
+
+    def unanswered(self, since: float, limit_s: float = 75.0) -> None:
+        """Once all troubles are over, each job that goes on is answered about."""
+        now = self.clock.seconds()
+        for job, accepted in self.accepted.items():
+            last = max(self.heard.get(job, accepted), accepted, since)
+            if job not in self.told and now - last > limit_s:
+                self._break("forgotten", f"{job}: no answer for {now - last:.0f} s")
+                self.heard[job] = now
+
+    def waits(self, job: str, fits: bool, limit_s: float = 90.0) -> None:
+        """A task of the job waits, and this tells whether it could run somewhere."""
+        now = self.clock.seconds()
+        if not fits:
+            self.waiting.pop(job, None)
+        elif now - self.waiting.setdefault(job, now) > limit_s:
+            self._break("left_waiting", f"{job} since {self.waiting.pop(job):.0f}")
 
     def sweep(self) -> None:
         """Withdrawn jobs must be off every machine in time."""
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -38,6 +38,11 @@
         self.peaks: dict[str, int] = {}
         self.turned_away = 0
         self.visitors = 0
+        # Who sent the call that is being handed over; and who can't open connections to whom.
+        self.caller = ""
+        self.barred: set[tuple[str, str]] = set()
+        # What controllers order, as it leaves them.
+        self.ordering: Callable[[bytes], None] = lambda body: None
 
     def serve(self, host: str, address: str, handler: Handler) -> None:
         self.handlers[address] = (host, handler)
@@ -107,6 +112,8 @@
         body: bytes | None,
         limit_s: float,
     ) -> Deferred[Answer]:
+        if path == "/orders" and body:
+            self.ordering(body)
         if path.startswith("/peer/"):
             self.peer_bytes += len(body or b"")
         result: Deferred[Answer] = Deferred()
@@ -134,6 +141,8 @@
 
         timer = self.clock.callLater(limit_s, settle, None)
         found = self.handlers.get(address)
+        if found is not None and (source, found[0]) in self.barred:
+            return result
         if found is None or found[0] not in self.alive:
             self.clock.callLater(self._delay(), settle, None)
             return result
@@ -153,6 +162,7 @@
                 return
             name, _, query_text = path.partition("?")
             query = dict(p.partition("=")[::2] for p in query_text.split("&") if p)
+            self.caller = source
             answered = ensureDeferred(_await(entry[1], Call(method, name, query, body or b"")))
             answered.addBoth(lambda result: (self._leave(door, address), result)[1])
             answered.addCallback(lambda answer: self.carry(target, source, lambda: settle(answer)))
@@ -200,23 +210,24 @@
 
 
 class HostClock:
-    """The clock of one process: its timers die with it."""
+    """The clock of one process: its timers die with it, and it drifts (PROTOCOL)."""
 
-    def __init__(self, network: Network, host: str) -> None:
+    def __init__(self, network: Network, host: str, drift: float = 0.0) -> None:
         self.network = network
         self.host = host
+        self.rate = 1.0 + drift
         self.born = network.generation.get(host, 0)
 
     def seconds(self) -> float:
-        return float(self.network.clock.seconds())
+        return float(self.network.clock.seconds()) * self.rate
 
     def callLater(self, delay: float, f: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
-        return self.network.clock.callLater(max(delay, 0.0), self._run, f, args)
+        return self.network.clock.callLater(max(delay, 0.0) / self.rate, self._run, f, args)
 
     def _run(self, f: Callable[..., Any], args: tuple[Any, ...]) -> None:
         if self.network.generation.get(self.host, 0) != self.born:
             return
-        still = self.network.frozen.get(self.host, 0.0) - self.seconds()
+        still = self.network.frozen.get(self.host, 0.0) - self.network.clock.seconds()
         if still > 0:
             self.network.clock.callLater(still, self._run, f, args)
         else:
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from msgspec import json
@@ -12,23 +13,56 @@
 from beamspar.wire import pack, unpack
 from tests.standins.clock import SimClock
 
+# Changes that a watch can still ask for.
+KEPT = 10_000
+
+
+class Rate:
+    """So many a second, with bursts of one second's worth."""
+
+    def __init__(self, clock: SimClock, rate: float) -> None:
+        self.clock, self.rate, self.level, self.at = clock, rate, rate, clock.seconds()
+
+    def take(self, amount: float) -> bool:
+        now = self.clock.seconds()
+        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.at = now
+        if self.level < min(amount, self.rate):
+            return False
+        self.level -= amount
+        return True
+
 
 class StateStandin:
-    def __init__(self, clock: SimClock, txn_ops: int, value_kb: float) -> None:
+    def __init__(
+        self, clock: SimClock, facts: dict[str, Any], caller: Callable[[], str] = lambda: ""
+    ) -> None:
         self.clock = clock
-        self.txn_ops = txn_ops
-        self.value_kb = value_kb
+        self.txn_ops: int = facts["txn_ops"]
+        self.value_kb: float = facts["value_kb"]
+        # What it serves may be more than what the settings say, to slow down our side alone.
+        self.requests = Rate(clock, facts.pop("served_rps", facts["rps"]))
+        self.changes = Rate(clock, facts.pop("served_write_rps", facts["write_rps"]))
+        self.crowded = 0
+        # Who asks; and whom the service refuses though it serves the others.
+        self.caller = caller
+        self.refused: set[str] = set()
         self.revision = 1
         self.items: dict[str, tuple[Any, int, int | None]] = {}
         self.grants: dict[int, tuple[float, float]] = {}
         self.next_grant = 1
         self.history: list[tuple[int, dict[str, Any]]] = []
-        self.watches: list[tuple[str, int, Deferred[Answer]]] = []
+        self.forgotten = 0
+        self.watches: list[tuple[str, int, Deferred[Answer], str]] = []
         self.down = False
         self.oversized: list[str] = []
         # The share of transactions that get no answer and are carried out late, after newer
-        # ones; and how slowly all others are answered.
+        # ones, or (`at_once`) lose only their answer; and how slowly all others are answered.
         self.late_share = 0.0
+        self.at_once = False
+        # Only transactions that touch a key like this; and how many are still to be lost.
+        self.late_keys = ""
+        self.late_left = -1
         self.slow_s = 0.0
         self.dice = random.Random(1)
         self._expire()
@@ -66,13 +100,16 @@
                     continue
                 event = {"drop": key, "entry_rev": self.revision}
             self.history.append((self.revision, event))
+        if len(self.history) > KEPT:
+            self.forgotten = self.history[len(self.history) - KEPT - 1][0]
+            del self.history[: len(self.history) - KEPT]
         waiting, self.watches = self.watches, []
-        for prefix, since, done in waiting:
+        for prefix, since, done, who in waiting:
             events = self._events(prefix, since)
-            if events and not self.down:
+            if events and not self.down and who not in self.refused:
                 done.callback(self._watched(events))
             else:
-                self.watches.append((prefix, since, done))
+                self.watches.append((prefix, since, done, who))
 
     def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
         return [
@@ -85,11 +122,20 @@
         return Answer(200, pack({"ledger_rev": self.revision, "events": events}))
 
     async def handle(self, call: Call) -> Answer:
-        if self.down and call.path != "/watch":
+        who = self.caller()
+        if self.down or who in self.refused:
             return Answer(503)
         body = unpack(call.body) if call.body else {}
-        if call.path == "/multi" and self.dice.random() < self.late_share:
-            self.clock.callLater(2 + 10 * self.dice.random(), self._late, body)
+        if not self.requests.take(1) or (
+            call.path == "/multi" and not self.changes.take(len(body.get("apply", [])))
+        ):
+            self.crowded += 1
+            return Answer(429)
+        if call.path == "/multi" and self._lost(body):
+            if self.at_once:
+                self._multi(body)
+            else:
+                self.clock.callLater(2 + 10 * self.dice.random(), self._late, body)
             return await Deferred()
         if self.slow_s:
             slow: Deferred[None] = Deferred()
@@ -127,27 +173,40 @@
             self.grants[grant] = (life, self.clock.seconds() + life)
             return Answer(200, pack({}))
         if call.path == "/watch":
-            return await self._watch(call.query)
+            return await self._watch(call.query, who)
         return Answer(400)
 
+    def _lost(self, body: Any) -> bool:
+        """Does this transaction get no answer?"""
+        changes = body.get("apply", [])
+        keys = [change.get("put") or change["drop"] for change in changes]
+        if not self.late_left or not any(key.startswith(self.late_keys) for key in keys):
+            return False
+        if self.dice.random() >= self.late_share:
+            return False
+        self.late_left -= 1
+        return True
+
     def _late(self, body: Any) -> None:
         if self.down:
             self.clock.callLater(1.0, self._late, body)
         else:
             self._multi(body)
 
-    async def _watch(self, query: dict[str, str]) -> Answer:
+    async def _watch(self, query: dict[str, str], who: str) -> Answer:
         prefix, since = query["under"], int(query["since"])
+        if since < self.forgotten:
+            return Answer(410)
         events = self._events(prefix, since)
         if events and not self.down:
             return self._watched(events)
         done: Deferred[Answer] = Deferred()
-        entry = (prefix, since, done)
+        entry = (prefix, since, done, who)
         self.watches.append(entry)
 
         def over() -> None:
             if entry in self.watches:
-                if self.down:
+                if self.down or who in self.refused:
                     self.clock.callLater(0.5, over)
                     return
                 self.watches.remove(entry)
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -35,6 +36,8 @@
         self.notice: float | None = None
         self.last_sent = -1e9
         self.copies: list[bytes] = []
+        # Called with each report as it leaves, for copies that arrive again.
+        self.copied: Callable[[bytes], None] = lambda body: None
         checker.where[name] = (kind["label"], zone, spot)
         network.serve(name, self.address, self.handle)
         clock.callLater(dice.random(), self._beat)
@@ -97,6 +100,7 @@
         self.last_sent = sent
         body = pack(self.message())
         self.copies.append(body)
+        self.copied(body)
         call = self.network.request(
             self.name, "POST", self.nodes[self.target], "/v1/report", body, 4.0
         )
@@ -227,6 +231,8 @@
         self.count = 0
         self.down = False
         self.boots = True
+        # Set: machines are up within so many seconds, whatever their type says.
+        self.boot_s: float | None = None
 
     def add(self, kind: str, zone: str, spot: bool, boot_s: float) -> str:
         self.count += 1
@@ -279,6 +285,7 @@
             return Answer(503, pack({"error": "no capacity"}))
         self.capacity[place] -= count
         boot = next(t["boot_s"] for t in self.types if t["label"] == body["rig_kind"])
+        boot = boot if self.boot_s is None else self.boot_s
         rigs = [self.add(*place, boot) for _ in range(count)]
         self.names[body["hire"]] = rigs
         return Answer(200, pack({"rigs": rigs}))
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -60,7 +60,7 @@
         )
         state = {"rps": 200.0, "write_rps": 60.0, "value_kb": 4.0, "txn_ops": 8}
         state.update(options.get("state", {}))
-        self.state = StateStandin(self.clock, state["txn_ops"], state["value_kb"])
+        self.state = StateStandin(self.clock, state, lambda: self.network.caller)
         self.network.serve("state", "state:1", self.state.handle)
         self.cloud = CloudStandin(self.clock, TYPES, self._worker)
         self.network.serve("cloud", "cloud:1", self.cloud.handle)
@@ -98,10 +98,27 @@
         for name in self.names:
             self.network.limits[name] = self.settings[name].facts.limits.sockets
             self.boot(name)
+        self.network.ordering = self.checker.ordered
+        self.checker.finished = self._finished
+        # Troubles on the users' side: until when, and how often.
+        self.looking: tuple[float, float] = (-1.0, 0.0)
+        self.ending: tuple[float, float] = (-1.0, 0.0)
+        # Copies of reports: until when, which share, and whether they wait for a new leader.
+        self.copying: tuple[float, float, bool] = (-1.0, 0.0, False)
+        self.kept: list[bytes] = []
+        self.led_by = ""
+        # Since when all troubles are over.
+        self.quiet: float | None = None
         self._sweep()
+        self._lead()
 
     def _worker(self, machine: dict[str, Any]) -> Worker:
         kind = next(t for t in TYPES if t["label"] == machine["rig_kind"])
+        worker = self._new_worker(machine, kind)
+        worker.copied = self._copied
+        return worker
+
+    def _new_worker(self, machine: dict[str, Any], kind: dict[str, Any]) -> Worker:
         return Worker(
             self.clock, self.network, self.checker, self.dice, machine["id"], kind,
             machine["yard"], machine["standby"], self.workers_facts, self.addresses,
@@ -109,15 +126,156 @@
 
     def _sweep(self) -> None:
         self.checker.sweep()
+        if self.quiet is not None:
+            self.checker.unanswered(self.quiet)
+            for job in self.checker.accepted:
+                waits = self.waits(job)
+                self.checker.waits(job, waits and self.could_run(job))
         self.clock.callLater(1.0, self._sweep)
 
+    def waits(self, job: str) -> bool:
+        """Has the job tasks that are neither done nor on a machine?"""
+        if job in self.checker.told or self.checker.jobs[job].get("faulty"):
+            return False
+        there = sum(
+            1 for task, places in self.checker.on.items()
+            if places and task.partition("/")[0] == job
+        )  # fmt: skip
+        done = len(self.checker.done.get(job, ()))
+        return there + done < self.checker.jobs[job]["parcels"]
+
+    def could_run(self, job: str) -> bool:
+        """Would one more task of it fit some machine and its team's limit? Gangs aside."""
+        spec = self.checker.jobs[job]
+        if spec["shape"] == "ensemble" or (spec["together"] and spec["parcels"] > 1):
+            return False
+        used = self.checker.use(spec["owner"])
+        for have, limit, more in zip(
+            used, self.checker.limits[spec["owner"]], (spec["cpus"], spec["accelerators"]),
+            strict=True,
+        ):  # fmt: skip
+            if limit and have + more > limit + 1e-6:
+                return False
+        zones = [self.checker.where[m][1] for m in self.machines_of(job)]
+        return any(self._fits(spec, worker, zones) for worker in self.cloud.workers.values())
+
+    def _fits(self, spec: dict[str, Any], worker: Worker, zones: list[str]) -> bool:
+        if worker.dead or worker.hung or worker.sick or worker.notice is not None:
+            return False
+        if spec["rig_kinds"] and worker.kind["label"] not in spec["rig_kinds"]:
+            return False
+        if (spec["yard"] and worker.zone != spec["yard"]) or (worker.spot and not spec["standby"]):
+            return False
+        if spec["scatter"] and zones.count(worker.zone) >= (spec["parcels"] + 1) // 2:
+            return False
+        there = [
+            self.checker.jobs[task.partition("/")[0]]
+            for (task, _), state in worker.tasks.items()
+            if state["status"] != "ended"
+        ]
+        return all(
+            sum(s[field] for s in there) + spec[field] <= worker.kind[field] + 1e-6
+            for field in ("cpus", "accelerators", "memory_gb")
+        )
+
+    # -- troubles
+
+    def leader(self) -> str:
+        """Who leads; the stored record decides, for a process may not know yet."""
+        item = self.state.items.get("c/leader")
+        return str(item[0]["name"]) if item else ""
+
+    def _lead(self) -> None:
+        """Reports that were kept for the next leader arrive as it begins, at everybody's."""
+        name = self.leader()
+        if name and name != self.led_by:
+            self.led_by = name
+            for body in self.kept:
+                for node in self.names:
+                    self.call(node, "POST", "/v1/report", body)
+            self.kept.clear()
+        self.clock.callLater(0.05, self._lead)
+
+    def _copied(self, body: bytes) -> None:
+        until, share, for_next = self.copying
+        if self.clock.seconds() > until or self.dice.random() >= share:
+            return
+        if for_next:
+            self.kept.append(body)
+            return
+        wait = 2.0 + 2 * self.workers_facts["lease_s"] * self.dice.random()
+        node = self.dice.choice(self.names)
+        self.clock.callLater(wait, self.call, node, "POST", "/v1/report", body)
+
+    def mute(self, machine: str, on: bool) -> None:
+        """It opens no connection to any controller; orders reach it, and their answers us."""
+        for node in self.names:
+            (self.network.barred.add if on else self.network.barred.discard)((machine, node))
+
+    def cancel_now(self, jobs: list[str], hang_s: float = 0.0) -> None:
+        """Users call these off at once; up to eight of their machines hang so long."""
+        machines = sorted({m for job in jobs for m in self.machines_of(job)})[:8]
+        for machine in machines if hang_s else ():
+            worker = self.cloud.workers[machine]
+            worker.hung = True
+            self.clock.callLater(hang_s, setattr, worker, "hung", False)
+        for job in jobs:
+            self.clock.callLater(0.2 * self.dice.random(), self.withdraw, job)
+
+    def _finished(self, job: str) -> None:
+        until, share = self.ending
+        if self.clock.seconds() <= until and self.dice.random() < share:
+            self.clock.callLater(0.01 * self.dice.random(), self.withdraw, job)
+
+    def _look(self, job: str) -> None:
+        """Users ask everybody, again and again, and repeat what they asked for."""
+        until, share = self.looking
+        if self.clock.seconds() > until:
+            return
+        for node in self.names:
+            for n in range(3):
+                self.clock.callLater(0.004 * n, self._poll, job, True, node)
+            self.clock.callLater(0.003, self._submit, job, node, 0)
+        if self.dice.random() < share:
+            self.clock.callLater(0.002, self.withdraw, job)
+
+    def odd(self, until: float) -> None:
+        """Repeats of unfinished jobs, cancellations of done ones, and what can't be taken."""
+        if self.clock.seconds() > until:
+            return
+        going = [j for j in self.checker.accepted if j not in self.checker.told]
+        done = [j for j, (state, _) in self.checker.told.items() if state == "done"]
+        if going:
+            job = self.dice.choice(going)
+            less = dict(self.checker.jobs[job], cpus=1e6)
+            del less["shape"]
+            self.call(self.dice.choice(self.names), "POST", "/submissions", less).addCallback(
+                lambda result: self.checker.submitted(job, result[0])
+            )
+        if done:
+            self.withdraw(self.dice.choice(done))
+        bad = f"j-bad-{self.clock.seconds():.1f}"
+        for name, spec in ((f"{bad}-a", dict(JOB, cpus=1e6)), (f"{bad}-b", dict(JOB))):
+            spec["id"] = name
+            if name.endswith("b"):
+                del spec["owner"]
+            self.checker.bad.add(name)
+            self.checker.asked.add(name)
+            node = self.dice.choice(self.names)
+            self.call(node, "POST", "/submissions", spec).addCallback(
+                lambda result, name=name: self.checker.submitted(name, result[0])
+            )
+        self.clock.callLater(0.5, self.odd, until)
+
     # -- controllers
 
     def boot(self, name: str) -> None:
         self.network.alive.add(name)
         facts = self.settings[name].facts
         gates = Gates(Sockets.of(facts.limits.sockets, facts.nodes))
-        net, clock = HostNet(self.network, name, gates), HostClock(self.network, name)
+        net = HostNet(self.network, name, gates)
+        drift = 0.0005 * (2 * self.names.index(name) / max(len(self.names) - 1, 1) - 1)
+        clock = HostClock(self.network, name, drift)
         node = Node(clock, net, self.settings[name], self.tuning, random.Random(self.dice.random()))
         self.nodes[name] = node
         ensureDeferred(node.start())
@@ -160,26 +318,33 @@
 
     def _submit(self, job: str, node: str | None, tries: int) -> None:
         target = node or self.dice.choice(self.names)
+        asked = self.clock.seconds()
 
         def answered(result: tuple[int, Any]) -> None:
             status, data = result
+            new = job not in self.checker.accepted
             self.checker.submitted(job, status)
             if status in (200, 201):
-                self.checker.answered(job, 200, data)
-                self.clock.callLater(5.0, self._poll, job)
+                self.checker.answered(job, 200, data, asked)
+                if new:
+                    self.clock.callLater(5.0, self._poll, job)
+                    self._look(job)
             elif status not in (400, 422) and tries:
                 self.clock.callLater(1.0, self._submit, job, None, tries - 1)
 
         body = {k: v for k, v in self.checker.jobs[job].items() if k not in ("run_s", "faulty")}
         self.call(target, "POST", "/submissions", body).addCallback(answered)
 
-    def _poll(self, job: str, once: bool = False) -> None:
-        node = self.dice.choice(self.names)
+    def _poll(self, job: str, once: bool = False, node: str | None = None) -> None:
+        node = node or self.dice.choice(self.names)
         asked = self.clock.seconds()
 
         def answered(result: tuple[int, Any]) -> None:
+            old = job in self.checker.told
             self.checker.answered(job, *result, asked)
             told = self.checker.told.get(job, ("", 0))[0]
+            if told and not old:
+                self._look(job)
             if not once and told not in FINAL:
                 self.clock.callLater(5.0, self._poll, job)
 
@@ -187,9 +352,13 @@
 
     def withdraw(self, job: str, node: str | None = None) -> None:
         target = node or self.dice.choice(self.names)
+        asked = self.clock.seconds()
 
         def answered(result: tuple[int, Any]) -> None:
-            self.checker.answered(job, *result)
+            old = job in self.checker.told
+            self.checker.answered(job, *result, asked)
+            if job in self.checker.told and not old:
+                self._look(job)
             if result[0] not in (200, 404):
                 self.clock.callLater(1.0, self.withdraw, job)
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -14,6 +14,18 @@
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.toml"))
 
 
+def nodes_of(world: World, names: list[str]) -> list[str]:
+    """Controllers by name or by part: who leads now, one that does not, all."""
+    leader = world.leader()
+    parts = {
+        "leader": [leader],
+        "other": [n for n in world.names if n != leader][:1],
+        "third": [n for n in world.names if n != leader][1:2],
+        "all": world.names,
+    }
+    return [name for part in names for name in parts.get(part, [part])]
+
+
 def victims(world: World, step: dict[str, Any]) -> list[str]:
     """The machines a step speaks of: by name, or those a job is on."""
     if "on" in step:
@@ -34,33 +46,38 @@
     if do == "submit" and "count" in step:
         # Many jobs alike, one after the other, at the controllers in turn.
         del extra["count"], extra["every"]
+        cancel, after = extra.pop("cancel", 0.0), extra.pop("cancel_after", 2.0)
         for n in range(step["count"]):
             node = world.names[n % len(world.names)]
             job = f"{step['job']}-{n}"
             again = functools.partial(world.submit, job, node, **extra)
             world.clock.callLater(n * step["every"], again)
+            if world.dice.random() < cancel:
+                world.clock.callLater(n * step["every"] + after, world.withdraw, job)
     elif do == "submit":
         world.submit(step["job"], step.get("node"), **extra)
     elif do == "withdraw":
         world.withdraw(step["job"], step.get("node"))
     elif do == "crash":
-        for name in step["nodes"]:
+        for name in nodes_of(world, step["nodes"]):
             world.crash(name, step.get("back_s"))
     elif do == "freeze":
-        for name in step["nodes"]:
+        for name in nodes_of(world, step["nodes"]):
             world.network.frozen[name] = world.clock.seconds() + step["for_s"]
     elif do == "state" and "down" not in step:
         world.state.late_share = step.get("late_share", 0.0)
+        world.state.at_once = step.get("at_once", False)
+        world.state.late_keys = step.get("late_keys", "")
+        world.state.late_left = step.get("late_left", -1)
         world.state.slow_s = step.get("slow_s", 0.0)
+        world.state.refused = set(nodes_of(world, step.get("refuse", [])))
     elif do == "state":
         world.state.outage(step["down"])
     elif do == "cloud":
         world.cloud.down = step["down"]
     elif do == "cut":
-        if step["one"] == ["leader"]:
-            leaders = [n for n, node in world.nodes.items() if node.leader and node.leader.leading]
-            assert len(leaders) == 1, leaders
-            step["one"][:] = leaders
+        # Named once, for the step that heals it.
+        step["one"][:] = nodes_of(world, step["one"])
         for one in step["one"]:
             for other in step["other"]:
                 if other == one:
@@ -86,6 +103,31 @@
             else:
                 worker.hung = do == "hang"
                 worker.sick = do == "sick"
+    elif do in ("mute", "unmute"):
+        for name in victims(world, step):
+            world.mute(name, do == "mute")
+    elif do == "hear":
+        for name in victims(world, step):
+            for node in world.names:
+                world.network.heal(node, name)
+    elif do == "copies":
+        until = world.clock.seconds() + step["for_s"]
+        world.copying = (until, step["share"], step.get("for_next", False))
+    elif do == "cancel":
+        jobs = [j for j in world.checker.accepted if j.startswith(step["job"])]
+        jobs = [j for j in jobs if world.machines_of(j) and j not in world.checker.told]
+        assert len(jobs) >= step.get("at_least", 1), (step, jobs)
+        world.cancel_now(jobs, step.get("hang_s", 0.0))
+    elif do == "close-looks":
+        world.looking = (world.clock.seconds() + step["for_s"], step.get("cancel", 0.0))
+    elif do == "cancel-at-end":
+        world.ending = (world.clock.seconds() + step["for_s"], step["share"])
+    elif do == "odd":
+        world.odd(world.clock.seconds() + step["for_s"])
+    elif do == "boots":
+        world.cloud.boot_s = step["in_s"]
+    elif do == "quiet":
+        world.quiet = world.clock.seconds()
     elif do == "blind":
         # Reports arrive; answers and orders do not reach the machine.
         for name in victims(world, step):
@@ -167,6 +209,28 @@
     if "holds" in step:
         holder = world.nodes[step["node"]].holder
         assert holder is not None and len(holder.machines) >= step["holds"], (where, step)
+    if "withdrawn" in step:
+        # So many of that name's beginning were told to be, and none of them is anywhere.
+        jobs = [j for j, t in world.checker.told.items() if t[0] == "withdrawn"]
+        jobs = [j for j in jobs if j.startswith(step["job"])]
+        left = {j: sorted(m) for j in jobs if (m := world.machines_of(j))}
+        assert len(jobs) >= step["withdrawn"], (where, len(jobs))
+        assert not left, (where, left)
+    if "live_tasks" in step:
+        jobs = [j for j in world.checker.accepted if j.startswith(step["job"])]
+        assert sum(map(world.running, jobs)) >= step["live_tasks"], (where, step)
+    if "ended" in step:
+        jobs = [j for j in world.checker.accepted if j.startswith(step["job"])]
+        open_ = [j for j in jobs if j not in world.checker.told]
+        assert len(jobs) - len(open_) >= step["ended"], (where, len(jobs), len(open_), open_[:5])
+    if "in_two_blocks" in step:
+        names = [m["name"] for k, item in world.state.items.items() if k.startswith("c/block/")
+                 for m in item[0]["machines"]]  # fmt: skip
+        twice = sorted({n for n in names if names.count(n) > 1})
+        assert len(twice) <= step["in_two_blocks"], (where, twice)
+    if "doubtful" in step:
+        doubtful = [j for n in world.nodes.values() if n.owner for j in n.owner.doubtful]
+        assert len(doubtful) <= step["doubtful"], (where, doubtful)
     if "led" in step:
         leaders = [n for n in world.nodes.values() if n.leader and n.leader.ready]
         assert len(leaders) == step["led"], (where, step)
