--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -207,8 +207,7 @@
         for partition, machines in self.stream_wants.items():
             for key, want in machines.get(machine.info.name, {}).items():
                 if want.number == machine.number:
-                    machine.wants[key] = want
-                    machine.partition_of[key] = partition
+                    self._wanted(machine, key, want, partition)
 
     def held(self, name: str) -> HeldMachine | None:
         """The machine, if this controller may act for it right now."""
@@ -376,12 +375,28 @@
             machine = self.machines.get(want.machine)
             if machine and machine.number == want.number:
                 key = (want.task, want.attempt)
+                if machine.partition_of.get(key, message.partition) != message.partition:
+                    continue
                 status = self._status(machine, key, want)
                 if status:
                     machine.told[key] = (status.state, status.why)
                     answers.append(status)
         return answers
 
+    def _wanted(self, machine: HeldMachine, key: Key, want: Want, partition: str) -> bool:
+        """One partition's want of an attempt takes effect, unless it only holds room while
+        another's stands.
+
+        A repeated submission may be on its way to being accepted by another controller, under
+        the same names: until its record is refused, what it holds must not replace what the
+        stored record wants. Tasks that ran were taken for refused, and started elsewhere.
+        """
+        if want.action == HOLD and machine.partition_of.get(key, partition) != partition:
+            return False
+        machine.wants[key] = want
+        machine.partition_of[key] = partition
+        return True
+
     def _take(
         self, machine: HeldMachine, partition: str, old: dict[Key, Want], new: dict[Key, Want]
     ) -> bool:
@@ -399,12 +414,13 @@
         for key, want in new.items():
             if machine.number != want.number:
                 continue
-            if machine.wants.get(key) != want:
+            before = machine.wants.get(key)
+            if not self._wanted(machine, key, want, partition):
+                continue
+            if before != want:
                 changed = True
                 if key in machine.tasks and machine.tasks[key].status != "fetching":
                     self._cache(machine, want.image, want.image_gb)
-            machine.wants[key] = want
-            machine.partition_of[key] = partition
             machine.strangers.pop(key, None)
         if changed:
             machine.touch()
@@ -620,11 +636,12 @@
             return
         now = self.clock.seconds()
         starts = self._starts(machine)
-        commands = self._commands(machine) + starts
+        due = self._commands(machine) + starts
+        commands = due if self.session.current() else [c for c in due if c not in starts]
         self._tell(machine)
         machine.calm = (
             machine.fresh
-            and not commands
+            and not due
             and not machine.failed_orders
             and not machine.unwanted
             and all(key in machine.wants for key in machine.tasks)
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -337,7 +337,7 @@
                 holder = self._pick_holder(zone, counts)
                 counts[holder] += len(part)
                 value = block_record(holder, part)
-                changes.append((f"c/block/{part[0].name}", value))
+                changes.append((f"c/block/{self._free_name(part[0].name)}", value))
                 log.info(
                     "leasing {names} ({kind}, {zone}) to {holder}",
                     names=[m.name for m in part],
@@ -347,6 +347,17 @@
                 )
         await self._write(changes)
 
+    def _free_name(self, machine: str) -> str:
+        """A block's name is its first machine's, unless another block still goes by it.
+
+        A block keeps its name when that machine has been returned; a late copy of the
+        machine's report once got it leased again, in place of the block and all in it.
+        """
+        name = machine
+        while name in self.session.blocks:
+            name += "+"
+        return name
+
     async def _drop_returned(self) -> None:
         """The cloud has confirmed these are gone: without a block their tasks are too."""
         changes: list[tuple[str, Any]] = []
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -133,6 +133,14 @@
             return False
         return self.clock.seconds() < min(self.renewed_at, self.watched_at) + self.timing.validity
 
+    def current(self) -> bool:
+        """Is the mirror so recent that new work may be begun by it?
+
+        What runs goes on while our lease lasts, but a start by old knowledge may be of what
+        its user has cancelled: a controller that is cut off or was frozen begins nothing.
+        """
+        return self.clock.seconds() - self.watched_at < self.timing.current
+
     def fence(self) -> dict[str, int]:
         """The condition that keeps a former self's or a deposed owner's writes out."""
         return {self.fence_key: self.fence_version}
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -123,6 +123,8 @@
         # passes on the better. A leader's writes fail once it has passed.
         self.lead = w.lease_s * 0.4
         self.hold = w.report_s * 0.67
+        # How old the mirror may be to begin something by it: a watch and its answer.
+        self.current = w.report_s * 1.67
         self.beat = w.report_s / 6
         # How long polls are gathered for one comparison with the state service: a call for
         # every other poll took more of processor and rate than all else.
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -42,7 +42,7 @@
         self.caller = ""
         self.barred: set[tuple[str, str]] = set()
         # What controllers order, as it leaves them.
-        self.ordering: Callable[[bytes], None] = lambda body: None
+        self.ordering: Callable[[str, bytes], None] = lambda source, body: None
 
     def serve(self, host: str, address: str, handler: Handler) -> None:
         self.handlers[address] = (host, handler)
@@ -113,7 +113,7 @@
         limit_s: float,
     ) -> Deferred[Answer]:
         if path == "/orders" and body:
-            self.ordering(body)
+            self.ordering(source, body)
         if path.startswith("/peer/"):
             self.peer_bytes += len(body or b"")
         result: Deferred[Answer] = Deferred()
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -60,6 +60,8 @@
         # ones, or (`at_once`) lose only their answer; and how slowly all others are answered.
         self.late_share = 0.0
         self.at_once = False
+        # Or are never carried out.
+        self.lost = False
         # Only transactions that touch a key like this; and how many are still to be lost.
         self.late_keys = ""
         self.late_left = -1
@@ -134,7 +136,7 @@
         if call.path == "/multi" and self._lost(body):
             if self.at_once:
                 self._multi(body)
-            else:
+            elif not self.lost:
                 self.clock.callLater(2 + 10 * self.dice.random(), self._late, body)
             return await Deferred()
         if self.slow_s:
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -98,7 +98,7 @@
         for name in self.names:
             self.network.limits[name] = self.settings[name].facts.limits.sockets
             self.boot(name)
-        self.network.ordering = self.checker.ordered
+        self.network.ordering = self._ordered
         self.checker.finished = self._finished
         # Troubles on the users' side: until when, and how often.
         self.looking: tuple[float, float] = (-1.0, 0.0)
@@ -180,6 +180,12 @@
 
     # -- troubles
 
+    def _ordered(self, source: str, body: bytes) -> None:
+        """Nobody who can be told starts what is cancelled; who is cut off has its lease."""
+        frozen = self.network.frozen.get(source, -10.0) > self.clock.seconds() - 1.0
+        if not frozen and not any(source in pair for pair in self.network.cuts):
+            self.checker.ordered(body)
+
     def leader(self) -> str:
         """Who leads; the stored record decides, for a process may not know yet."""
         item = self.state.items.get("c/leader")
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -20,7 +20,7 @@
     machine = dice.choice(machines) if machines else None
     later = world.clock.callLater
     span = dice.choice([1.0, 5.0, 12.0, 25.0, 45.0])
-    kind = dice.randrange(14)
+    kind = dice.randrange(22)
     if kind == 0:
         for name in dice.sample(names, dice.randint(1, len(names))):
             world.crash(name, dice.choice([0.1, 1.0, 6.0, 40.0]))
@@ -67,6 +67,41 @@
     elif kind == 12:
         for name in dice.sample(names, dice.randint(1, len(names))):
             world.network.frozen[name] = world.clock.seconds() + min(span, 25.0)
+    elif kind == 14:
+        node = dice.choice([world.leader() or names[0], dice.choice(names)])
+        world.state.refused.add(node)
+        later(span, world.state.refused.discard, node)
+        if dice.random() < 0.5:
+            # Then out for everybody, for longer than a cancellation has.
+            later(1.0, world.state.outage, True)
+            later(1.0 + 59.0, world.state.outage, False)
+    elif kind == 15:
+        world.state.late_share, world.state.at_once = dice.choice([0.1, 0.4]), True
+        later(span, setattr, world.state, "late_share", 0.0)
+        later(span, setattr, world.state, "at_once", False)
+    elif kind == 16:
+        world.copying = (world.clock.seconds() + span, 0.4, dice.random() < 0.5)
+        if world.copying[2]:
+            later(span, world.crash, world.leader() or names[0], dice.choice([0.2, 6.0, 45.0]))
+    elif kind == 17 and machines:
+        for name in dice.sample(machines, min(len(machines), dice.choice([1, 4]))):
+            world.mute(name)
+        later(span, world.network.barred.clear)
+    elif kind == 18:
+        jobs = [j for j in world.checker.accepted if j not in world.checker.told]
+        jobs = [j for j in jobs if world.machines_of(j)]
+        world.cancel_now(dice.sample(jobs, min(len(jobs), 6)), dice.choice([0.0, 9.0, 14.0, 25.0]))
+    elif kind == 19:
+        world.looking = (world.clock.seconds() + span, 0.2)
+        world.ending = (world.clock.seconds() + span, 0.5)
+    elif kind == 20:
+        world.odd(world.clock.seconds() + span)
+    elif kind == 21:
+        # A controller without state service and siblings, but with its workers and users.
+        node = dice.choice([world.leader() or names[0], dice.choice(names)])
+        for other in ("state", *(n for n in names if n != node)):
+            world.network.cut(node, other, "hold")
+            later(span, world.network.heal, node, other)
     elif kind == 13:
         for name in dice.sample(machines, len(machines) // 2):
             worker = world.cloud.workers[name]
@@ -138,11 +173,18 @@
     world.cloud.down = False
     world.state.outage(False)
     world.state.late_share = world.state.slow_s = 0.0
+    world.state.refused.clear()
+    world.network.barred.clear()
+    world.copying = (-1.0, 0.0, False)
     for pair in list(world.network.cuts):
         world.network.heal(*pair)
     for worker in world.cloud.workers.values():
         worker.hung = worker.sick = False
     world.run(world.clock.seconds() + 30)
+    # Outages and hangs that began late are over, too.
+    world.run(world.clock.seconds() + 62)
+    world.quiet = world.clock.seconds()
+    world.run(world.clock.seconds() + 30)
     for job, spec in world.checker.jobs.items():
         if spec["shape"] != "sweep" and job in world.checker.accepted:
             world.withdraw(job)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -67,6 +67,7 @@
     elif do == "state" and "down" not in step:
         world.state.late_share = step.get("late_share", 0.0)
         world.state.at_once = step.get("at_once", False)
+        world.state.lost = step.get("lost", False)
         world.state.late_keys = step.get("late_keys", "")
         world.state.late_left = step.get("late_left", -1)
         world.state.slow_s = step.get("slow_s", 0.0)
