Checker: a machine out of reach excuses no start of a cancelled task

The exemption for controllers that can't be told was too wide: any cut of the controller, also from a single machine, switched the check off, and so in the scenario doubt-is-voided.

--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -181,9 +181,15 @@
     # -- troubles
 
     def _ordered(self, source: str, body: bytes) -> None:
-        """Nobody who can be told starts what is cancelled; who is cut off has its lease."""
+        """Nobody who can be told starts what is cancelled; who is cut off has its lease.
+
+        It can't be told while it stood still, or is without the state service and a sibling,
+        who may be the one that confirmed it. A machine that it can't reach is no excuse.
+        """
         frozen = self.network.frozen.get(source, -10.0) > self.clock.seconds() - 1.0
-        if not frozen and not any(source in pair for pair in self.network.cuts):
+        cut = {other for pair in self.network.cuts if source in pair for other in pair} - {source}
+        unserved = "state" in cut or source in self.state.refused or self.state.slow_s > 0
+        if not frozen and not (unserved and cut & set(self.names)):
             self.checker.ordered(body)
 
     def leader(self) -> str:
