--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +14,7 @@
 from twisted.logger import Logger
 
 from beamspar.control import records
+from beamspar.control.job import Job, Task
 from beamspar.control.messages import (
     CLEAR,
     ENDED,
@@ -58,141 +58,6 @@
 LOOKS = 3
 
 
-class Task:
-    """One task that is bound or has been; untouched tasks have none of these."""
-
-    __slots__ = (
-        "attempt",
-        "avoid",
-        "evict",
-        "failures",
-        "machine",
-        "not_before",
-        "number",
-        "state",
-        "stored",
-        "yields",
-    )
-
-    def __init__(self, attempt: int = 0) -> None:
-        self.attempt = attempt
-        self.machine: str | None = None
-        self.state = ""
-        self.stored = False
-        self.number = 0
-        self.evict = False
-        self.failures = 0
-        # It is to stop, so that higher work of its team may run within the team's limit.
-        self.yields = False
-        self.avoid: set[str] = set()
-        self.not_before = 0.0
-
-
-class Job:
-    """A job of ours in memory; its record's version fences every write of it."""
-
-    def __init__(self, spec: Spec, partition: str, per: int, now: float) -> None:
-        self.spec = spec
-        self.partition = partition
-        self.per = per
-        self.version = 0
-        self.chunk_versions: dict[int, int] = {}
-        self.status = LIVE
-        self.tasks: dict[int, Task] = {}
-        self.untouched = 0
-        self.again: deque[int] = deque()
-        self.done: dict[int, set[int]] = {}
-        self.done_count = 0
-        self.dirty: set[int] = set()
-        self.writing = False
-        self.since = now
-        self.stamp = ""
-        self.clearing: set[str] = set()
-
-    @property
-    def id(self) -> str:
-        return self.spec.id
-
-    @property
-    def bound(self) -> int:
-        return sum(1 for t in self.tasks.values() if t.machine is not None)
-
-    @property
-    def running(self) -> int:
-        return sum(1 for t in self.tasks.values() if t.machine is not None and t.state == "running")
-
-    @property
-    def weight(self) -> float:
-        """Whose record goes first: the higher priority, then the longer fetch, for the
-        sooner that begins the sooner all is back."""
-        return self.spec.rank - 1 + 1 / (1 + self.spec.image_gb)
-
-    def is_done(self, index: int) -> bool:
-        return index in self.done.get(index // self.per, ())
-
-    def waiting(self, now: float, most: int) -> list[int]:
-        """Indexes that may be placed now, those that ran before first."""
-        if self.status != LIVE or (self.spec.is_gang and self.bound):
-            # A gang starts anew only after all of its old attempts are over.
-            return []
-        found: list[int] = []
-        for index in self.again:
-            if self.tasks[index].not_before <= now:
-                found.append(index)
-                if len(found) >= most:
-                    return found
-        rest = range(self.untouched, min(self.spec.tasks, self.untouched + most - len(found)))
-        return found + list(rest)
-
-    def take(self, index: int) -> Task:
-        """Mark a waiting task as about to be bound."""
-        if index >= self.untouched:
-            self.untouched = index + 1
-            self.tasks.setdefault(index, Task())
-        else:
-            self.again.remove(index)
-        return self.tasks[index]
-
-    def places(self, zone_of: Callable[[str], str]) -> tuple[dict[str, int], dict[str, int]]:
-        """Where the job's tasks are or may be: zones and machines with counts."""
-        zones: dict[str, int] = {}
-        machines: dict[str, int] = {}
-        for task in self.tasks.values():
-            if task.machine is not None:
-                machines[task.machine] = machines.get(task.machine, 0) + 1
-                zone = zone_of(task.machine)
-                zones[zone] = zones.get(zone, 0) + 1
-        return zones, machines
-
-    def chunk(self, number: int) -> Chunk:
-        low, high = number * self.per, min((number + 1) * self.per, self.spec.tasks)
-        chunk = Chunk(done=records.ranges(sorted(self.done.get(number, ()))))
-        for index in range(low, min(high, self.untouched)):
-            task = self.tasks.get(index)
-            # A task whose `done` is not stored yet is still among the tasks: listed
-            # as waiting, an heir would run and count it twice.
-            if task is None or self.is_done(index):
-                continue
-            if task.machine is not None:
-                chunk.bound.append((index, task.attempt, task.machine))
-            elif task.attempt:
-                chunk.again.append((index, task.attempt))
-        return chunk
-
-    def record(self) -> dict[str, Any]:
-        record = JobRecord(
-            msgspec.to_builtins(self.spec),
-            self.partition,
-            self.status,
-            self.done_count,
-            self.bound,
-            self.chunk(0),
-            self.stamp,
-        )
-        data: dict[str, Any] = msgspec.to_builtins(record)
-        return data
-
-
 class Owner:
     """Owns the jobs of this controller's partitions."""
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from beamspar.control.budget import Budget
-from beamspar.control.owner import Job
+from beamspar.control.job import Job
 from beamspar.control.session import Partition, Session
 from beamspar.settings import (
     CloudFacts,
