Limits that the state service will have: smaller records, rates and transactions

state.next is read; nothing larger than the smaller of both limits is written: transactions, blocks (split in one write), conditions. Rates go down when refused. A 400 for size is told apart from an ended lease. Job records say how many tasks a chunk holds once every controller's fence tells a release that reads it; records of the first release are rewritten smaller by then. Gangs beyond the team's limit as a whole get 422. The writes of job records moved to job_writer.

--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -93,7 +93,10 @@
             return reply(400, {"error": "id is missing or not of the form j-000000"})
         try:
             spec = parse_spec(data)
-            if len(msgspec.json.encode(spec)) > self.node.settings.facts.state.value_kb * 480:
+            if (
+                len(msgspec.json.encode(spec))
+                > self.node.settings.facts.state.smallest.value_kb * 480
+            ):
                 raise BadInput("the description is too long to be stored")
         except BadInput as error:
             return await self._known_or(job, reply(400, {"error": str(error)}))
@@ -135,7 +138,7 @@
             return f"owner {spec.team} is no team"
         if not any(fits_type(spec, kind) for kind in types.values()):
             return "a task fits no allowed machine type"
-        count = spec.tasks if spec.is_service else 1
+        count = spec.tasks if spec.is_service or spec.is_gang else 1
         if team.cpus_max and spec.cpus * count > team.cpus_max + 1e-6:
             return "more cpus than the team's limit"
         if team.gpus_max and spec.gpus * count > team.gpus_max + 1e-6:
@@ -236,7 +239,7 @@
 
     async def _checks(self) -> None:
         while self.checks:
-            most = self.node.settings.facts.state.txn_ops * 4
+            most = self.node.settings.facts.state.smallest.txn_ops * 4
             part = dict(list(self.checks.items())[:most])
             for name in part:
                 del self.checks[name]
--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -54,6 +54,8 @@
         self.session = session
         self.state = state
         self.nodes = max(settings.facts.nodes, 1)
+        # Conditions of one transaction, less those on our fence and on the record.
+        self.most_conditions = settings.facts.state.smallest.txn_ops * 4 - 2
         self.teams = {t.name: t for t in settings.facts.teams if t.cpus_max or t.gpus_max}
         self.used: dict[Key, Pair] = {}
         self.short: dict[Key, dict[str, Short]] = {}
@@ -280,6 +282,9 @@
         partitions = [
             f for f in {*record, *(f for f, t in self.short if t == name)} if self._ours(f)
         ]
+        # Each is a condition: those that change go first, the others wait for the next write.
+        partitions.sort(key=lambda f: (self._share(f, team, record) == tuple(record.get(f, ())), f))
+        del partitions[self.most_conditions :]
         conditions = {**self.session.fence(), f"c/budget/{name}": version}
         moved = self._in_doubt(name)
         made: list[tuple[Key, Doubt]] = []
--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from beamspar.control import records
-from beamspar.control.records import LIVE, Chunk, JobRecord
+from beamspar.control.records import LIVE, Chunk, JobRecord, Layout
 from beamspar.wire import Spec
 
 
@@ -46,10 +46,12 @@
 class Job:
     """A job of ours in memory; its record's version fences every write of it."""
 
-    def __init__(self, spec: Spec, partition: str, per: int, now: float) -> None:
+    def __init__(self, spec: Spec, partition: str, layout: Layout, now: float) -> None:
         self.spec = spec
         self.partition = partition
-        self.per = per
+        self.layout = layout
+        # While its record is rewritten in another layout, nothing of it is bound anew.
+        self.moving = False
         self.version = 0
         self.chunk_versions: dict[int, int] = {}
         self.status = LIVE
@@ -64,6 +66,11 @@
         self.stamp = ""
         self.clearing: set[str] = set()
 
+    @property
+    def per(self) -> int:
+        """Tasks in a chunk of its record."""
+        return self.layout.per
+
     @property
     def id(self) -> str:
         return self.spec.id
@@ -87,7 +94,7 @@
 
     def waiting(self, now: float, most: int) -> list[int]:
         """Indexes that may be placed now, those that ran before first."""
-        if self.status != LIVE or (self.spec.is_gang and self.bound):
+        if self.status != LIVE or self.moving or (self.spec.is_gang and self.bound):
             # A gang starts anew only after all of its old attempts are over.
             return []
         found: list[int] = []
@@ -134,6 +141,16 @@
                 chunk.again.append((index, task.attempt))
         return chunk
 
+    def relayout(self, layout: Layout) -> None:
+        """Cut the tasks anew. All chunks are to be written before the record names the layout."""
+        finished = [index for indexes in self.done.values() for index in indexes]
+        self.layout = layout
+        self.done = {}
+        for index in finished:
+            self.done.setdefault(index // layout.per, set()).add(index)
+        self.chunk_versions = {}
+        self.dirty = {index // layout.per for index in range(self.untouched)} | {0}
+
     def record(self) -> dict[str, Any]:
         record = JobRecord(
             msgspec.to_builtins(self.spec),
@@ -143,6 +160,7 @@
             self.bound,
             self.chunk(0),
             self.stamp,
+            self.layout.stored,
         )
         data: dict[str, Any] = msgspec.to_builtins(record)
         return data
--- /dev/null
+++ b/src/beamspar/control/job_writer.py
@@ -0,0 +1,332 @@
+"""Writes the records of the jobs that this controller owns, one write at a time for each.
+
+A record whose layout holds too many tasks for the announced limit of the state service is
+rewritten in a smaller one, as soon as every controller can read that.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+from twisted.logger import Logger
+
+from beamspar.control import records
+from beamspar.control.job import Job
+from beamspar.control.records import DONE, LIVE, WITHDRAWN, EndRecord, Layout
+from beamspar.control.session import RELEASE, Session
+from beamspar.http import Clock, sleep, spawn
+from beamspar.settings import StateFacts, Timing
+from beamspar.state import (
+    CHORE,
+    PLACE,
+    Conflict,
+    InDoubt,
+    NoLease,
+    Rejected,
+    StateClient,
+    StateDown,
+    drop,
+    put,
+)
+from beamspar.state import DONE as DONE_PRIORITY
+
+log = Logger(namespace="owner")
+
+
+class JobBook(Protocol):
+    """The jobs that are written, and what their owner does when their records have moved."""
+
+    jobs: dict[str, Job]
+    partitions: set[str]
+
+    def touch(self, machine: str) -> None:
+        """Tell the machine's holder what is wanted there."""
+
+    def forget(self, job: Job, ended: bool = False) -> None:
+        """The job is over, or another controller's."""
+
+    def cancel(self, job: Job) -> None:
+        """The job's user has cancelled it."""
+
+
+class JobWriter:
+    """Owns the writes of one owner's jobs."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        state: StateClient,
+        facts: StateFacts,
+        timing: Timing,
+        book: JobBook,
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.state = state
+        self.facts = facts
+        self.timing = timing
+        self.book = book
+        self.first = records.first_layout(facts)
+        self.small = records.small_layout(facts)
+        # Has every controller been seen to read stored layouts? It does not change back.
+        self.all_read = False
+        self.stamps = 0
+
+    # -- layouts
+
+    def layout_now(self) -> Layout:
+        """The layout for a new job's record."""
+        return self.small if self._may_store_layout() else self.first
+
+    def _may_store_layout(self) -> bool:
+        self.all_read = self.all_read or self.session.all_read(RELEASE)
+        return self.all_read
+
+    def _too_large(self, job: Job) -> bool:
+        """May the job's records outgrow the announced limit in the layout that they have?"""
+        return job.per > self.small.per and job.spec.tasks > self.small.per
+
+    def tick(self) -> None:
+        """Rewrite what may outgrow the announced limit, before that limit comes."""
+        if not self._may_store_layout():
+            return
+        for job in list(self.book.jobs.values()):
+            if job.status == LIVE and self._too_large(job):
+                self.flush(job)
+
+    # -- writing
+
+    def flush(self, job: Job) -> None:
+        """Write what has changed, unless a write is under way, which will go on with it."""
+        if not job.writing and job.id in self.book.jobs:
+            due = job.dirty or self._over(job) or (self._too_large(job) and self.all_read)
+            if due:
+                job.writing = True
+                spawn(self._write(job), f"writing {job.id}")
+
+    def stamp(self) -> str:
+        """A name for the next write."""
+        self.stamps += 1
+        return f"{self.session.me}.{self.session.inc}.{self.stamps}"
+
+    def _over(self, job: Job) -> bool:
+        if job.status == WITHDRAWN:
+            return not job.bound
+        return job.done_count >= job.spec.tasks
+
+    async def _write(self, job: Job) -> None:
+        """One write at a time, each with all that has changed since the last."""
+        try:
+            while job.id in self.book.jobs and not self.session.lost:
+                if self._over(job):
+                    if await self._finish(job):
+                        return
+                elif self._too_large(job) and self._may_store_layout():
+                    await self._relayout(job)
+                elif job.dirty:
+                    await self._store(job)
+                else:
+                    return
+        finally:
+            job.writing = False
+
+    def _conditions(self, job: Job) -> dict[str, int]:
+        """Ours by fence and partition, and nobody has written the record since."""
+        return {
+            **self.session.fence(),
+            **self.session.partition_fence(job.partition),
+            records.job_key(job.id): job.version,
+        }
+
+    async def _relayout(self, job: Job) -> None:
+        """Rewrite the job's records with fewer tasks in each.
+
+        The new chunks lie apart from the old ones, and count when the job's record names
+        their layout. Until then the old records hold, and nothing is bound anew.
+        """
+        old, versions = job.layout, job.chunk_versions
+        log.info("{job}: records of {per} tasks", job=job.id, per=self.small.per)
+        job.moving = True
+        job.relayout(self.small)
+        done = False
+        try:
+            while len(job.dirty - {0}) > records.chunks_at_once(self.facts):
+                numbers = sorted(job.dirty - {0})[: records.chunks_at_once(self.facts)]
+                if not await self._store_part(job, numbers):
+                    break
+            else:
+                done = await self._store(job)
+        finally:
+            job.moving = False
+            if not done:
+                # Not there yet: the record still names the old layout.
+                job.relayout(old)
+                job.chunk_versions = versions
+        if done and versions:
+            spawn(self._drop_chunks(job.id, old, versions), "dropping chunks")
+
+    async def _store_part(self, job: Job, numbers: list[int]) -> bool:
+        """Write chunks that the job's record does not name yet."""
+        job.dirty.difference_update(numbers)
+        changes = [
+            put(job.layout.key(job.id, number), msgspec.to_builtins(job.chunk(number)))
+            for number in numbers
+        ]
+        try:
+            version = await self.state.multi(self._conditions(job), changes, PLACE, job.weight)
+        except (Conflict, StateDown, NoLease) as error:
+            log.info("{job}: new layout waits: {error}", job=job.id, error=error)
+            await sleep(self.clock, self.timing.retry)
+            await self.reread(job)
+            return False
+        for number in numbers:
+            job.chunk_versions[number] = version
+        return True
+
+    async def _store(self, job: Job) -> bool:
+        """Write the job's record and some of its chunks; False when that is not known."""
+        numbers = sorted(job.dirty)[: records.chunks_at_once(self.facts)]
+        if job.moving:
+            numbers = sorted(job.dirty)
+        job.dirty.difference_update(numbers)
+        job.stamp = self.stamp()
+        marks: list[tuple[int, int, str | None]] = []
+        key = records.job_key(job.id)
+        changes = [put(key, job.record())]
+        conditions = self._conditions(job)
+        written = range(-(-job.untouched // job.per)) if job.moving else {0, *numbers}
+        for number in written:
+            for index in range(number * job.per, min((number + 1) * job.per, job.untouched)):
+                if index in job.tasks:
+                    marks.append((index, job.tasks[index].attempt, job.tasks[index].machine))
+        for number in numbers:
+            if number:
+                name = job.layout.key(job.id, number)
+                if not job.moving:
+                    # What an attempt to change the layout left there is not known.
+                    conditions[name] = job.chunk_versions.get(number, 0)
+                changes.append(put(name, msgspec.to_builtins(job.chunk(number))))
+        finished = [index for n in numbers for index in job.done.get(n, ())]
+        try:
+            version = await self.state.multi(conditions, changes, PLACE, job.weight)
+        except Conflict as error:
+            job.dirty.update({0, *numbers} if job.moving else numbers)
+            log.info("{job}: write lost to {failed}", job=job.id, failed=error.failed)
+            if key not in error.failed:
+                # Fenced, or a chunk's late write: the mirror will tell, not haste.
+                await sleep(self.clock, self.timing.retry)
+            await self._reread_all(job)
+            return False
+        except (StateDown, NoLease) as error:
+            # In doubt it may be applied yet, even late; the record's version tells
+            # the two apart at the next write, so nothing is decided here.
+            job.dirty.update({0, *numbers} if job.moving else numbers)
+            log.info("{job}: write waits: {error}", job=job.id, error=error)
+            await sleep(self.clock, self.timing.retry)
+            if isinstance(error, Rejected):
+                log.error("{job}: larger than the state service takes", job=job.id)
+            if isinstance(error, InDoubt):
+                await self._reread_all(job)
+            return False
+        job.version = version
+        for number in numbers:
+            if number:
+                job.chunk_versions[number] = version
+        for index, attempt, machine in marks:
+            task = job.tasks.get(index)
+            if task and task.attempt == attempt and task.machine == machine and machine:
+                if not task.stored:
+                    task.stored = True
+                    self.book.touch(machine)
+        for index in finished:
+            job.tasks.pop(index, None)
+        self.touch_clears(job)
+        return True
+
+    async def reread(self, job: Job) -> None:
+        """The stored record moved under us: learn what it says now."""
+        try:
+            item = await self.state.get(records.job_key(job.id), PLACE)
+        except StateDown:
+            return
+        if self.book.jobs.get(job.id) is not job:
+            return
+        if item is None:
+            log.info("{job} is over", job=job.id)
+            self.book.forget(job, ended=True)
+            return
+        record = records.read_job(item)
+        if record.partition not in self.book.partitions:
+            self.book.forget(job)
+            return
+        if item.version >= job.version:
+            job.version = item.version
+            layout = records.layout_of(record, self.facts)
+            if layout != job.layout and not job.moving:
+                # A change of layout without an answer was carried out after all.
+                job.relayout(layout)
+        if record.status == WITHDRAWN and job.status == LIVE:
+            self.book.cancel(job)
+            self.flush(job)
+
+    async def _reread_all(self, job: Job) -> None:
+        await self.reread(job)
+        if job.spec.tasks > job.per and job.id in self.book.jobs:
+            layout = job.layout
+            try:
+                items, _ = await self.state.scan(layout.prefix(job.id), PLACE)
+            except StateDown:
+                return
+            if job.layout != layout:
+                return
+            for item in items:
+                number = layout.number(job.id, item.key)
+                if number is not None:
+                    job.chunk_versions[number] = item.version
+
+    async def _finish(self, job: Job) -> bool:
+        """Move the job to its final record; True when it is over for us."""
+        status = WITHDRAWN if job.status == WITHDRAWN else DONE
+        end = records.end_key(job.id)
+        changes = [
+            drop(records.job_key(job.id)),
+            put(end, msgspec.to_builtins(EndRecord(status, job.done_count))),
+        ]
+        if status == WITHDRAWN:
+            changes.append(drop(records.mark_key(job.id)))
+        try:
+            await self.state.multi({**self._conditions(job), end: 0}, changes, DONE_PRIORITY)
+        except Conflict:
+            await self.reread(job)
+            return job.id not in self.book.jobs
+        except (StateDown, NoLease) as error:
+            log.info("{job}: end waits: {error}", job=job.id, error=error)
+            await sleep(self.clock, self.timing.retry)
+            if isinstance(error, InDoubt):
+                await self.reread(job)
+            return job.id not in self.book.jobs
+        log.info("{job} is {status}", job=job.id, status=status)
+        self.book.forget(job, ended=True)
+        if job.chunk_versions:
+            spawn(self._drop_chunks(job.id, job.layout, job.chunk_versions), "dropping chunks")
+        return True
+
+    def touch_clears(self, job: Job) -> None:
+        """What is over is stored now, so its machines may forget it."""
+        for machine in job.clearing:
+            self.book.touch(machine)
+        job.clearing.clear()
+
+    async def _drop_chunks(self, job: str, layout: Layout, versions: dict[int, int]) -> None:
+        """Remove chunks that no record names any more."""
+        left = sorted(versions)
+        most = self.facts.smallest.txn_ops
+        while left:
+            part, left = left[:most], left[most:]
+            try:
+                await self.state.multi({}, [drop(layout.key(job, n)) for n in part], CHORE)
+            except StateDown:
+                left = part + left
+                await sleep(self.clock, self.timing.retry)
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -18,7 +18,7 @@
 from beamspar.control import records
 from beamspar.control.fleet import Fleet
 from beamspar.control.messages import Ask, Directions, JobClass, Offers, Placed, Summary, View
-from beamspar.control.session import LEADER, PARTITION, Block, Machine, Session, block_record
+from beamspar.control.session import BLOCK, LEADER, PARTITION, Block, Machine, Session, block_record
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import (
     Preference,
@@ -42,6 +42,14 @@
 RETIRE_AT_ONCE = 1 / 15
 
 
+def _halves(record: dict[str, Any]) -> list[tuple[str, dict[str, Any]]]:
+    """A block's record as two; their keys are still to be named."""
+    machines = record["machines"]
+    middle = -(-len(machines) // 2)
+    parts = [part for part in (machines[:middle], machines[middle:]) if part]
+    return [("", {**record, "machines": part}) for part in parts]
+
+
 class Picture:
     """What one member's heartbeats add up to."""
 
@@ -74,6 +82,7 @@
         self.state = state
         self.fleet = fleet
         self.settings = settings
+        self.limits = settings.facts.state.smallest
         self.timing = timing
         self.tuning = tuning
         self.dice = dice
@@ -244,7 +253,8 @@
             old, version = self.session.values.get(fence_key, ({}, 0))
             terms = {f"c/member/{dead}": 0}
             if not old.get("dead"):
-                value: dict[str, Any] = {"inc": int(old.get("inc", 0)) + 1, "dead": True}
+                # What else its fence says stays: its release is known beyond its death.
+                value = {**old, "inc": int(old.get("inc", 0)) + 1, "dead": True}
                 revision = await self._commit(
                     {**terms, fence_key: version}, [put(fence_key, value)]
                 )
@@ -265,7 +275,7 @@
                     heir = self._pick_holder(zone, counts)
                     counts[heir] += len(block.machines)
                     value = block_record(heir, block.machines, self._still_live(dead, block))
-                    changes.append((f"c/block/{name}", value))
+                    changes.append((BLOCK + name, value))
             await self._write(changes, terms)
 
     def _still_live(self, holder: str, block: Block) -> bool:
@@ -280,15 +290,16 @@
     async def _write(
         self, changes: list[tuple[str, Any]], terms: dict[str, int] | None = None
     ) -> None:
-        while changes:
-            most, size = 0, 0.0
-            for _, value in changes[: self.settings.facts.state.txn_ops - 1]:
-                size += len(orjson.dumps(value)) / 1024
-                if most and size > records.TXN_KB * records.MARGIN:
+        groups = [self._within_limit(key, value) for key, value in changes]
+        while groups:
+            part: list[tuple[str, Any]] = []
+            size = 0.0
+            while groups and len(part) + len(groups[0]) < self.limits.txn_ops:
+                size += sum(len(orjson.dumps(value)) for _, value in groups[0]) / 1024
+                if part and size > records.TXN_KB * records.MARGIN:
                     # Blocks of a very large fleet: more of them than one transaction holds.
                     break
-                most += 1
-            part, changes = changes[:most], changes[most:]
+                part += groups.pop(0)
             conditions = dict(terms or {})
             for key, _ in part:
                 conditions[key] = self.session.values.get(key, (None, 0))[1]
@@ -298,6 +309,23 @@
                 if value is not None:
                     self.session.learn(key, value, revision)
 
+    def _within_limit(self, key: str, value: Any) -> list[tuple[str, Any]]:
+        """The change itself, or several blocks in its place where it is larger than a value
+        may be. They are written together: a machine that is in no block counts as returned."""
+        parts = [(key, value)]
+        if not key.startswith(BLOCK) or value is None:
+            return parts
+        most = self.limits.value_kb * 1024 * records.MARGIN
+        while len(orjson.dumps(parts[0][1])) > most and len(parts[0][1]["machines"]) > 1:
+            parts = [half for _, part in parts for half in _halves(part)]
+        if len(parts) == 1 or len(parts) >= self.limits.txn_ops:
+            return [(key, value)]
+        named = [(key, parts[0][1])]
+        for _, part in parts[1:]:
+            name = self._free_name(part["machines"][0]["name"])
+            named.append((BLOCK + name, part))
+        return named
+
     def saw(self, machine: Machine) -> None:
         """A worker without a holder reported somewhere."""
         if machine.name not in self.fleet.returned:
@@ -305,10 +333,10 @@
 
     def _block_size(self) -> int:
         """So many machines that one transaction moves about all of a controller's blocks."""
-        facts = self.settings.facts
+        facts, limits = self.settings.facts, self.limits
         fleet = max(len(self.fleet.listed), len(self.session.block_of))
-        fitting = int(facts.state.value_kb * 1024 / 2 / MACHINE_BYTES)
-        size = -(-fleet // (max(facts.nodes, 1) * facts.state.txn_ops))
+        fitting = int(limits.value_kb * 1024 / 2 / MACHINE_BYTES)
+        size = -(-fleet // (max(facts.nodes, 1) * limits.txn_ops))
         return max(min(self.tuning.block_size or size, fitting), 1)
 
     async def _lease_new(self) -> None:
@@ -337,7 +365,7 @@
                 holder = self._pick_holder(zone, counts)
                 counts[holder] += len(part)
                 value = block_record(holder, part)
-                changes.append((f"c/block/{self._free_name(part[0].name)}", value))
+                changes.append((BLOCK + self._free_name(part[0].name), value))
                 log.info(
                     "leasing {names} ({kind}, {zone}) to {holder}",
                     names=[m.name for m in part],
@@ -367,9 +395,9 @@
                 continue
             if left:
                 value = block_record(block.holder, left, block.live, block.number)
-                changes.append((f"c/block/{name}", value))
+                changes.append((BLOCK + name, value))
             else:
-                changes.append((f"c/block/{name}", None))
+                changes.append((BLOCK + name, None))
         if changes:
             await self._write(changes)
 
@@ -416,8 +444,8 @@
             counts[block.holder] -= size
             counts[heir] += size
             log.info("moving {name} from {a} to {b}", name=name, a=block.holder, b=heir)
-            changes.append((f"c/block/{name}", block_record(heir, block.machines, live=True)))
-            if len(changes) >= max(self.settings.facts.state.txn_ops // 4, 1):
+            changes.append((BLOCK + name, block_record(heir, block.machines, live=True)))
+            if len(changes) >= max(self.limits.txn_ops // 4, 1):
                 break
         if changes:
             await self._write(changes)
@@ -451,7 +479,7 @@
         for name, member in found.items():
             block = self.session.blocks[name]
             log.info("moving {name}, a stray of {a}, to {b}", name=name, a=block.holder, b=member)
-            changes.append((f"c/block/{name}", block_record(member, block.machines, live=True)))
+            changes.append((BLOCK + name, block_record(member, block.machines, live=True)))
         if changes:
             await self._write(changes)
 
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -185,9 +185,9 @@
 
     async def _verdict(self, task: str, attempt: int, machine: str) -> bool | None:
         """Does the stored record bind this attempt here? None: can't tell now."""
-        per = records.chunk_size(self.settings.facts.state.value_kb)
+        facts = self.settings.facts.state
         try:
-            return await records.is_bound(self.state, per, task, attempt, machine)
+            return await records.is_bound(self.state, facts, task, attempt, machine)
         except (StateDown, msgspec.ValidationError) as error:
             log.info("no verdict on {task}: {error}", task=task, error=error)
             return None
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -15,6 +15,7 @@
 
 from beamspar.control import records
 from beamspar.control.job import Job, Task
+from beamspar.control.job_writer import JobWriter
 from beamspar.control.messages import (
     CLEAR,
     ENDED,
@@ -30,7 +31,7 @@
     Sync,
     Want,
 )
-from beamspar.control.records import DONE, LIVE, WITHDRAWN, Chunk, EndRecord, JobRecord
+from beamspar.control.records import LIVE, WITHDRAWN, Chunk, JobRecord
 from beamspar.control.session import PARTITION, Session
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import Preference, Room, choose, choose_group
@@ -47,7 +48,6 @@
     drop,
     put,
 )
-from beamspar.state import DONE as DONE_PRIORITY
 from beamspar.wire import PRIORITIES, Spec
 
 log = Logger(namespace="owner")
@@ -74,7 +74,7 @@
         self.state = state
         self.settings = settings
         self.timing = timing
-        self.per = records.chunk_size(settings.facts.state.value_kb)
+        self.facts = settings.facts.state
         self.jobs: dict[str, Job] = {}
         self.arriving: dict[str, Job] = {}
         # Accepts without an answer: a repeated submission may add one more for the same job.
@@ -107,7 +107,7 @@
         self.budget: Any = None
         self.dropping = False
         self.yielded_at = -1e9
-        self.writes = 0
+        self.writer = JobWriter(clock, session, state, self.facts, timing, self)
         session.listeners.append(self._changed)
 
     # -- jobs come and go
@@ -126,7 +126,7 @@
                 self.partitions.discard(name)
                 self.loaded.discard(name)
                 for job in [j for j in self.jobs.values() if j.partition == name]:
-                    self._forget(job)
+                    self.forget(job)
                 if self.budget:
                     self.budget.forget(name)
         elif kind == "block":
@@ -136,7 +136,7 @@
                 if machine.spot:
                     self.spot.add(machine.name)
                 if machine.name in self.on or machine.name in self.clears:
-                    self._touch(machine.name)
+                    self.touch(machine.name)
         elif kind == "w":
             self._heed(name)
 
@@ -178,15 +178,17 @@
                 await sleep(self.clock, self.timing.retry)
 
     async def _restore(self, record: JobRecord, version: int) -> Job:
-        job = Job(records.read_spec(record), record.partition, self.per, self.clock.seconds())
+        layout = records.layout_of(record, self.facts)
+        job = Job(records.read_spec(record), record.partition, layout, self.clock.seconds())
         job.version, job.status, job.stamp = version, record.status, record.stamp
         chunks = {0: record.chunk}
-        if job.spec.tasks > self.per:
-            items, _ = await self.state.scan(f"task/{job.id}/", ACCEPT)
+        if job.spec.tasks > layout.per:
+            items, _ = await self.state.scan(layout.prefix(job.id), ACCEPT)
             for item in items:
-                number = int(item.key.rpartition("/")[2])
-                chunks[number] = msgspec.convert(item.value, Chunk)
-                job.chunk_versions[number] = item.version
+                number = layout.number(job.id, item.key)
+                if number is not None:
+                    chunks[number] = msgspec.convert(item.value, Chunk)
+                    job.chunk_versions[number] = item.version
         for number, chunk in sorted(chunks.items()):
             for low, high in chunk.done:
                 job.done.setdefault(number, set()).update(range(low, high + 1))
@@ -224,7 +226,7 @@
             self._heed(job.id)
         return True
 
-    def _forget(self, job: Job, ended: bool = False) -> None:
+    def forget(self, job: Job, ended: bool = False) -> None:
         """The job is over, or another's: nothing of it is ours to speak for."""
         self.jobs.pop(job.id, None)
         if ended and self.reading:
@@ -232,13 +234,13 @@
         for index, task in job.tasks.items():
             if task.machine is not None:
                 self._take_off(task.machine, job, index)
-        self._touch_clears(job)
+        self.writer.touch_clears(job)
 
     # -- the index by machine
 
     def _place_on(self, machine: str, job: Job, index: int, task: Task) -> None:
         self.on.setdefault(machine, {})[(job.id, index)] = (job, task)
-        self._touch(machine)
+        self.touch(machine)
 
     def _take_off(self, machine: str, job: Job, index: int) -> None:
         key = (job.id, index)
@@ -250,9 +252,9 @@
             del there[key]
             if not there:
                 del self.on[machine]
-            self._touch(machine)
+            self.touch(machine)
 
-    def _touch(self, machine: str) -> None:
+    def touch(self, machine: str) -> None:
         """Its holder should hear what is wanted there now, this turn's changes together."""
         held = self.session.holder_of(machine)
         if held is not None:
@@ -263,7 +265,8 @@
 
     async def accept(self, spec: Spec) -> bool:
         """Store a new job, with its first places if there is room; False: it is known."""
-        job = Job(spec, self.session.partition, self.per, self.clock.seconds())
+        layout = self.writer.layout_now()
+        job = Job(spec, self.session.partition, layout, self.clock.seconds())
         self.arriving[spec.id] = job
         try:
             return await self._accept(job)
@@ -273,7 +276,7 @@
     async def _accept(self, job: Job) -> bool:
         spec = job.spec
         await self._place([job])
-        job.stamp = self._stamp()
+        job.stamp = self.writer.stamp()
         conditions = {
             **self.session.fence(),
             **self.session.partition_fence(job.partition),
@@ -301,9 +304,9 @@
         job.version = version
         job.dirty.discard(0)
         for index, task in job.tasks.items():
-            if index < self.per and task.machine:
+            if index < job.per and task.machine:
                 task.stored = True
-                self._touch(task.machine)
+                self.touch(task.machine)
         self.jobs[spec.id] = job
         log.info(
             "accepted {job} ({job_class}): {n} tasks, {placed} placed",
@@ -315,7 +318,7 @@
         if self.session.is_withdrawn(job.id):
             # Another controller read what we wrote, and its answer was the faster one.
             self._heed(job.id)
-        self._flush(job)
+        self.writer.flush(job)
         if job.waiting(self.clock.seconds(), 1):
             self.pump()
         return True
@@ -371,7 +374,7 @@
                 job = await self._restore(record, item.version)
                 if job_id not in self.arriving and self._keep(job):
                     log.info("adopted {job}", job=job_id)
-                    self._flush(job)
+                    self.writer.flush(job)
                     self.pump()
         except StateDown as error:
             log.info("adopting {job} waits: {error}", job=job_id, error=error)
@@ -389,54 +392,29 @@
                 if task.machine:
                     self.budget.free(job)
 
-    def _stamp(self) -> str:
-        self.writes += 1
-        return f"{self.session.me}.{self.session.inc}.{self.writes}"
-
     def _heed(self, job_id: str) -> None:
         """A withdrawal that somebody has stored: final, so it needs no read to be heeded."""
         job = self.jobs.get(job_id)
         if job is not None and job.status == LIVE:
-            self._withdrawn(job)
+            self.cancel(job)
             # Its write moved our record; the job's end is to be written on top of it.
             spawn(self._catch_up(job), "withdrawal")
 
     async def _catch_up(self, job: Job) -> None:
-        await self._reread(job)
-        self._flush(job)
+        await self.writer.reread(job)
+        self.writer.flush(job)
 
-    def _withdrawn(self, job: Job) -> None:
+    def cancel(self, job: Job) -> None:
+        """The job's user has cancelled it: whatever of it runs is to stop."""
         log.info("{job} is withdrawn", job=job.id)
         job.status = WITHDRAWN
         self._drop_unstored(job)
         job.again.clear()
         self._touch_all(job)
 
-    async def _reread(self, job: Job) -> None:
-        """The stored record moved under us: learn what it says now."""
-        try:
-            item = await self.state.get(records.job_key(job.id), PLACE)
-        except StateDown:
-            return
-        if self.jobs.get(job.id) is not job:
-            return
-        if item is None:
-            log.info("{job} is over", job=job.id)
-            self._forget(job, ended=True)
-            return
-        record = records.read_job(item)
-        if record.partition not in self.partitions:
-            self._forget(job)
-            return
-        if item.version >= job.version:
-            job.version = item.version
-        if record.status == WITHDRAWN and job.status == LIVE:
-            self._withdrawn(job)
-            self._flush(job)
-
     def _touch_all(self, job: Job) -> None:
         for machine in {task.machine for task in job.tasks.values()} - {None}:
-            self._touch(str(machine))
+            self.touch(str(machine))
 
     def _drop_unstored(self, job: Job) -> None:
         for index, task in job.tasks.items():
@@ -446,147 +424,6 @@
                 if self.budget:
                     self.budget.free(job)
 
-    # -- writing
-
-    def _flush(self, job: Job) -> None:
-        if not job.writing and job.id in self.jobs:
-            over = self._over(job)
-            if job.dirty or over:
-                job.writing = True
-                spawn(self._write(job), f"writing {job.id}")
-
-    def _over(self, job: Job) -> bool:
-        if job.status == WITHDRAWN:
-            return not job.bound
-        return job.done_count >= job.spec.tasks
-
-    async def _write(self, job: Job) -> None:
-        """One write at a time, each with all that has changed since the last."""
-        try:
-            while job.id in self.jobs and not self.session.lost:
-                if self._over(job):
-                    if await self._finish(job):
-                        return
-                elif job.dirty:
-                    await self._store(job)
-                else:
-                    return
-        finally:
-            job.writing = False
-
-    async def _store(self, job: Job) -> None:
-        numbers = sorted(job.dirty)[: records.chunks_at_once(self.settings.facts.state)]
-        job.dirty.difference_update(numbers)
-        job.stamp = self._stamp()
-        marks: list[tuple[int, int, str | None]] = []
-        key = records.job_key(job.id)
-        changes = [put(key, job.record())]
-        conditions = {
-            **self.session.fence(),
-            **self.session.partition_fence(job.partition),
-            key: job.version,
-        }
-        for number in {0, *numbers}:
-            for index in range(number * self.per, min((number + 1) * self.per, job.untouched)):
-                if index in job.tasks:
-                    marks.append((index, job.tasks[index].attempt, job.tasks[index].machine))
-            if number:
-                name = records.chunk_key(job.id, number)
-                conditions[name] = job.chunk_versions.get(number, 0)
-                changes.append(put(name, msgspec.to_builtins(job.chunk(number))))
-        finished = [index for n in numbers for index in job.done.get(n, ())]
-        try:
-            version = await self.state.multi(conditions, changes, PLACE, job.weight)
-        except Conflict as error:
-            job.dirty.update(numbers)
-            log.info("{job}: write lost to {failed}", job=job.id, failed=error.failed)
-            if key not in error.failed:
-                # Fenced, or a chunk's late write: the mirror will tell, not haste.
-                await sleep(self.clock, self.timing.retry)
-            await self._reread_all(job)
-            return
-        except (StateDown, NoLease) as error:
-            # In doubt it may be applied yet, even late; the record's version tells
-            # the two apart at the next write, so nothing is decided here.
-            job.dirty.update(numbers)
-            log.info("{job}: write waits: {error}", job=job.id, error=error)
-            await sleep(self.clock, self.timing.retry)
-            if isinstance(error, InDoubt):
-                await self._reread_all(job)
-            return
-        job.version = version
-        for number in numbers:
-            if number:
-                job.chunk_versions[number] = version
-        for index, attempt, machine in marks:
-            task = job.tasks.get(index)
-            if task and task.attempt == attempt and task.machine == machine and machine:
-                if not task.stored:
-                    task.stored = True
-                    self._touch(machine)
-        for index in finished:
-            job.tasks.pop(index, None)
-        self._touch_clears(job)
-
-    async def _reread_all(self, job: Job) -> None:
-        await self._reread(job)
-        if job.spec.tasks > self.per and job.id in self.jobs:
-            try:
-                items, _ = await self.state.scan(f"task/{job.id}/", PLACE)
-            except StateDown:
-                return
-            for item in items:
-                job.chunk_versions[int(item.key.rpartition("/")[2])] = item.version
-
-    async def _finish(self, job: Job) -> bool:
-        """Move the job to its final record; True when it is over for us."""
-        status = WITHDRAWN if job.status == WITHDRAWN else DONE
-        key, end = records.job_key(job.id), records.end_key(job.id)
-        changes = [drop(key), put(end, msgspec.to_builtins(EndRecord(status, job.done_count)))]
-        if status == WITHDRAWN:
-            changes.append(drop(records.mark_key(job.id)))
-        conditions = {
-            **self.session.fence(),
-            **self.session.partition_fence(job.partition),
-            key: job.version,
-            end: 0,
-        }
-        try:
-            await self.state.multi(conditions, changes, DONE_PRIORITY)
-        except Conflict:
-            await self._reread(job)
-            return job.id not in self.jobs
-        except (StateDown, NoLease) as error:
-            log.info("{job}: end waits: {error}", job=job.id, error=error)
-            await sleep(self.clock, self.timing.retry)
-            if isinstance(error, InDoubt):
-                await self._reread(job)
-            return job.id not in self.jobs
-        log.info("{job} is {status}", job=job.id, status=status)
-        self._forget(job, ended=True)
-        if job.chunk_versions:
-            spawn(self._drop_chunks(job), "dropping chunks")
-        return True
-
-    def _touch_clears(self, job: Job) -> None:
-        """What is over is stored now, so its machines may forget it."""
-        for machine in job.clearing:
-            self._touch(machine)
-        job.clearing.clear()
-
-    async def _drop_chunks(self, job: Job) -> None:
-        left = sorted(job.chunk_versions)
-        most = self.settings.facts.state.txn_ops
-        while left:
-            part, left = left[:most], left[most:]
-            try:
-                await self.state.multi(
-                    {}, [drop(records.chunk_key(job.id, n)) for n in part], CHORE
-                )
-            except StateDown:
-                left = part + left
-                await sleep(self.clock, self.timing.retry)
-
     # -- placing
 
     def pump(self) -> None:
@@ -607,7 +444,7 @@
                 bound = sum(job.bound for job in part)
                 await self._place(part)
                 for job in jobs:
-                    self._flush(job)
+                    self.writer.flush(job)
                 if len(part) < len(jobs) and sum(job.bound for job in part) > bound:
                     # That found room, so there may be more for those behind.
                     self.again = True
@@ -814,7 +651,7 @@
         for job in touched.values():
             # What waits to be placed again is written once, with its new place.
             if not job.waiting(now, 1):
-                self._flush(job)
+                self.writer.flush(job)
         if touched:
             self.pump()
 
@@ -824,7 +661,7 @@
             if clears.pop((status.task, status.attempt), None) is not None:
                 if not clears:
                     del self.clears[status.machine]
-                self._touch(status.machine)
+                self.touch(status.machine)
                 return None
         job_id, _, index_text = status.task.partition("/")
         job = self.jobs.get(job_id)
@@ -995,6 +832,7 @@
         return job is None or (not job.writing and int(index) // job.per not in job.dirty)
 
     def tick(self) -> None:
+        self.writer.tick()
         for name in (self.session.withdrawn | self.session.told.keys()) & self.jobs.keys():
             self._heed(name)
         self._drop_empty_partition()
@@ -1034,7 +872,7 @@
                 freed = [freed[0] + job.spec.cpus, freed[1] + job.spec.gpus]
                 if not task.yields and task.machine is not None:
                     task.yields = True
-                    self._touch(task.machine)
+                    self.touch(task.machine)
                     log.info(
                         "{job}/{index} yields to higher work of {team}",
                         job=job.id,
@@ -1082,4 +920,4 @@
                     self._over_attempt(job, index, task, status)
                     changed[job.id] = job
         for job in changed.values():
-            self._flush(job)
+            self.writer.flush(job)
--- a/src/beamspar/control/records.py
+++ b/src/beamspar/control/records.py
@@ -4,6 +4,10 @@
 chunks of them, and `end/<id>` what stays of a job that is over. A job moves from
 `job/` to `end/` in one transaction and never back, so reading them in this order
 can't miss it. Only tasks that differ from 'waiting, never started' are written.
+
+How many tasks a chunk holds is stored with the job once all controllers can read that
+(`p`, and its chunks lie below `task/<id>/<p>/`). Records without it are of the first
+release: it follows from the present limit on values.
 """
 
 from __future__ import annotations
@@ -40,6 +44,8 @@
     running: int = msgspec.field(name="r", default=0)
     chunk: Chunk = msgspec.field(name="t", default_factory=Chunk)
     stamp: str = msgspec.field(name="w", default="")
+    # Tasks in a chunk; None in the layout of the first release.
+    per: int | None = msgspec.field(name="p", default=None)
 
 
 class EndRecord(msgspec.Struct):
@@ -59,8 +65,43 @@
     return f"c/w/{job}"
 
 
-def chunk_key(job: str, chunk: int) -> str:
-    return f"task/{job}/{chunk}"
+class Layout(msgspec.Struct, frozen=True):
+    """How a job's tasks are cut into chunks, and where the chunks lie."""
+
+    # Tasks in a chunk.
+    per: int
+    # Of the first release, which all releases read: not stored with the job.
+    first: bool = False
+
+    @property
+    def stored(self) -> int | None:
+        """What the job's record says of it."""
+        return None if self.first else self.per
+
+    def prefix(self, job: str) -> str:
+        return f"task/{job}/" if self.first else f"task/{job}/{self.per}/"
+
+    def key(self, job: str, chunk: int) -> str:
+        return f"{self.prefix(job)}{chunk}"
+
+    def number(self, job: str, key: str) -> int | None:
+        """The chunk's number; None for a key of another layout below the same prefix."""
+        rest = key.removeprefix(self.prefix(job))
+        return int(rest) if rest.isdigit() else None
+
+
+def first_layout(facts: StateFacts) -> Layout:
+    """The layout of the first release: by the present limit, whatever has been announced."""
+    return Layout(chunk_size(facts.value_kb), first=True)
+
+
+def small_layout(facts: StateFacts) -> Layout:
+    """The layout that fits the smallest limit."""
+    return Layout(chunk_size(facts.smallest.value_kb))
+
+
+def layout_of(record: JobRecord, facts: StateFacts) -> Layout:
+    return Layout(record.per) if record.per else first_layout(facts)
 
 
 def chunk_size(value_kb: float) -> int:
@@ -70,8 +111,9 @@
 
 def chunks_at_once(facts: StateFacts) -> int:
     """Chunks that fit into one transaction beside the job's own record."""
+    # Chunks of the first release's layout may be as large as the present limit lets them be.
     left = TXN_KB * MARGIN - facts.value_kb
-    return max(min(facts.txn_ops - 1, int(left / (facts.value_kb / 2))), 1)
+    return max(min(facts.smallest.txn_ops - 1, int(left / (facts.value_kb / 2))), 1)
 
 
 def ranges(indexes: list[int]) -> list[tuple[int, int]]:
@@ -95,7 +137,9 @@
     return spec
 
 
-async def is_bound(state: StateClient, per: int, task: str, attempt: int, machine: str) -> bool:
+async def is_bound(
+    state: StateClient, facts: StateFacts, task: str, attempt: int, machine: str
+) -> bool:
     """Does the stored record bind this attempt to this machine?"""
     job, _, index_text = task.partition("/")
     if not index_text.isdigit():
@@ -106,8 +150,9 @@
     item = await state.get(job_key(job), CHORE)
     if item is None:
         return False
-    chunk = read_job(item).chunk
-    if index // per:
-        part = await state.get(chunk_key(job, index // per), CHORE)
+    record = read_job(item)
+    chunk, layout = record.chunk, layout_of(record, facts)
+    if index // layout.per:
+        part = await state.get(layout.key(job, index // layout.per), CHORE)
         chunk = msgspec.convert(part.value, Chunk) if part else Chunk()
     return (index, attempt, machine) in chunk.bound
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -29,9 +29,12 @@
 
 log = Logger(namespace="session")
 
+# What this release reads and writes; told with each registration. The first release told none.
+RELEASE = 2
 CONTROL = "c/"
 # Keys that are stored keep the name that they were first given.
 PARTITION = "c/folio/"
+BLOCK = "c/block/"
 LEADER = "c/leader"
 
 
@@ -91,6 +94,7 @@
         self.state = state
         self.timing = timing
         self.me = settings.member
+        self.names = [self.me, *(sibling.member for sibling in settings.siblings)]
         self.inc = 0
         self.permit = 0
         self.fence_version = 0
@@ -145,6 +149,18 @@
         """The condition that keeps a former self's or a deposed owner's writes out."""
         return {self.fence_key: self.fence_version}
 
+    def all_read(self, release: int) -> bool:
+        """Does every controller of the settings run this release or a newer one?
+
+        Its fence tells, also while it is down: it comes back as what it registered as last.
+        """
+        for name in self.names:
+            value, _ = self.values.get(f"c/fence/{name}", (None, 0))
+            told = value.get("v") if isinstance(value, dict) else None
+            if not isinstance(told, int) or told < release:
+                return False
+        return True
+
     def partition_fence(self, partition: str) -> dict[str, int]:
         record = self.partitions.get(partition)
         return {PARTITION + partition: record.version if record else 0}
@@ -213,8 +229,8 @@
         partition = f"{self.me}.{inc}"
         conditions = {self.fence_key: version}
         changes = [
-            put(self.fence_key, {"inc": inc}),
-            put(f"c/member/{self.me}", {"inc": inc}, permit),
+            put(self.fence_key, {"inc": inc, "v": RELEASE}),
+            put(f"c/member/{self.me}", {"inc": inc, "v": RELEASE}, permit),
             put(PARTITION + partition, {"owner": self.me}),
         ]
         if self.leader == self.me:
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -41,13 +41,42 @@
     report_s: float
     lease_s: float
     cancel_s: float
+    # How long a gang's task waits for the others, and within which time they must be told to
+    # stop. 0 where the platform does not say: see `Timing`.
+    gang_wait_s: float = 0.0
+    gang_peer_s: float = 0.0
+
+
+class NextLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have at some later moment; None: as they are."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
 
 
 class StateFacts(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextLimits = NextLimits()
+
+    @property
+    def smallest(self) -> StateFacts:
+        """The smaller of the present and the announced limits.
+
+        Nothing larger is ever written: the change comes without notice.
+        """
+        return StateFacts(
+            min(self.rps, self.next.rps or self.rps),
+            min(self.write_rps, self.next.write_rps or self.write_rps),
+            min(self.value_kb, self.next.value_kb or self.value_kb),
+            min(self.txn_ops, self.next.txn_ops or self.txn_ops),
+        )
 
 
 class CloudFacts(msgspec.Struct, frozen=True):
@@ -122,6 +151,9 @@
         # The lead is no lease of machines: withdrawals don't bound it, and the sooner it
         # passes on the better. A leader's writes fail once it has passed.
         self.lead = w.lease_s * 0.4
+        # Workers of an earlier release do not say how long the tasks of a gang wait.
+        self.gang_wait = w.gang_wait_s or w.lease_s * 2
+        self.gang_peer = w.gang_peer_s or w.report_s
         self.hold = w.report_s * 0.67
         # How old the mirror may be to begin something by it: a watch and its answer.
         self.current = w.report_s * 1.67
@@ -180,6 +212,7 @@
         raise SettingsError("settings: facts.workers durations must be above 0")
     if facts.workers.cancel_s <= facts.workers.lease_s:
         raise SettingsError("settings: facts.workers.cancel_s must exceed lease_s")
-    if facts.state.txn_ops < 4 or facts.state.rps <= 0 or facts.state.write_rps <= 0:
-        raise SettingsError("settings: facts.state limits are too small to work with")
+    for limits in (facts.state, facts.state.smallest):
+        if limits.txn_ops < 4 or min(limits.rps, limits.write_rps, limits.value_kb) <= 0:
+            raise SettingsError("settings: facts.state limits are too small to work with")
     return settings
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -26,6 +26,10 @@
     """The grant has ended."""
 
 
+class Rejected(StateDown):
+    """Not executed, for a value or the transaction is larger than the service takes."""
+
+
 class Compacted(Exception):
     """The watch asked for changes that are no longer kept."""
 
@@ -55,6 +59,8 @@
     """Above the rate that all nodes share: not executed."""
 
 
+# What the service says of a put whose lease has ended.
+NO_LEASE = "no such lease"
 # Priorities of the queue: lower goes first, and within one the lower weight.
 URGENT, ACCEPT, PLACE, DONE, CHORE = range(5)
 
@@ -66,9 +72,10 @@
     move may use what the others leave, down to its fair share when they don't.
     """
 
-    def __init__(self, clock: Clock, fair: float, most: float) -> None:
+    def __init__(self, clock: Clock, fair: float, most: float, floor: float) -> None:
         self.clock = clock
-        self.fair = fair
+        # Refusals lower the rate, but not below this.
+        self.floor = floor
         self.most = max(most, fair)
         self.rate = rate = fair
         self.moved = clock.seconds()
@@ -87,7 +94,7 @@
         return self.level
 
     def refused(self) -> None:
-        self.rate = max(self.rate * 0.6, self.fair * 0.8)
+        self.rate = max(self.rate * 0.6, self.floor)
         self.level = min(self.level, 0.0)
         self.moved = self.clock.seconds()
 
@@ -108,10 +115,13 @@
         self.facts = settings.facts.state
         self.limit_s = timing.call
         nodes = max(settings.facts.nodes, 1)
-        fair = self.facts.rps / nodes * self.SHARE * 0.8
-        self.requests = _Bucket(clock, max(fair, 2.0), fair)
-        fair = self.facts.write_rps / nodes * self.SHARE
-        self.changes = _Bucket(clock, max(fair, 2.0), self.facts.write_rps * 0.9)
+        self.smallest = self.facts.smallest
+        fair = max(self.facts.rps / nodes * self.SHARE * 0.8, 2.0)
+        floor = self.smallest.rps / nodes * 0.8
+        self.requests = _Bucket(clock, fair, fair, min(floor, fair))
+        fair = max(self.facts.write_rps / nodes * self.SHARE, 2.0)
+        floor = self.smallest.write_rps / nodes * self.SHARE * 0.8
+        self.changes = _Bucket(clock, fair, self.facts.write_rps * 0.9, min(floor, fair))
         self.queue: list[tuple[int, float, int, int, Deferred[None]]] = []
         self.turn = 0
         self.timer: Any = None
@@ -170,6 +180,8 @@
         if answer.status in (429, 503):
             self._note(answer.status == 429)
             if answer.status == 429:
+                if not changing:
+                    self.requests.refused()
                 raise Crowded(f"{method} {path}: 429")
             raise StateDown(f"{method} {path}: {answer.status}")
         if answer.status >= 500:
@@ -244,12 +256,14 @@
                 if not patience:
                     raise
                 if priority == URGENT:
-                    await sleep(self.clock, (len(changes) + 1) / self.facts.write_rps)
+                    await sleep(self.clock, (len(changes) + 1) / self.smallest.write_rps)
         if status == 409:
             failed = data.get("failed")
             raise Conflict([k for k in failed if isinstance(k, str)] if failed else [])
         if status == 400:
-            raise NoLease(str(data.get("error")))
+            if data.get("error") == NO_LEASE:
+                raise NoLease(NO_LEASE)
+            raise Rejected(f"a transaction of {len(changes)} changes: {data.get('error')}")
         revision = data.get("ledger_rev")
         if status != 200 or not isinstance(revision, int):
             raise InDoubt(f"odd reply to a transaction: {status}")
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -55,7 +55,7 @@
     ensureDeferred(owner.adopt("j-1"))
     first, second = slow.waiting
     second.callback(None)
-    owner._forget(owner.jobs["j-1"], ended=True)
+    owner.forget(owner.jobs["j-1"], ended=True)
     first.callback(None)
     assert "j-1" not in owner.jobs
     assert not owner.reading and not owner.ended
