--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -36,6 +36,8 @@
 log = Logger(namespace="holder")
 
 Key = tuple[str, int]
+# What a task that saves may take, as a share of what its job says.
+SAVE_MARGIN = 1.5
 # Attempts that are over and remembered per machine.
 MOST_OVER = 400
 
@@ -297,7 +299,7 @@
     def _seen(self, machine: HeldMachine, key: Key, task: TaskReport) -> None:
         want = machine.wants.get(key)
         job = key[0].partition("/")[0]
-        if task.status in ("running", "saving") and want:
+        if task.status in ("gathering", "running", "saving") and want:
             self._cache(machine, want.image, want.image_gb)
         if task.status == "ended" and task.why == "error":
             now = self.clock.seconds()
@@ -505,7 +507,7 @@
                 for k, w in machine.wants.items()
                 if w.rank > want.rank and machine.live(k) and k != key
             ),
-            key=lambda item: (-item[1].rank, not item[1].saves, item[1].gpus),
+            key=lambda item: (-item[1].rank, item[1].gang, not item[1].saves, item[1].gpus),
         )
         chosen = []
         for k, w in victims:
@@ -521,12 +523,18 @@
             return False
         for k, w in chosen:
             if k not in machine.evicted:
-                machine.evicted[k] = w.save_s * 1.5 if w.saves else 0.0
+                machine.evicted[k] = self._grace(w)
                 machine.touch()
                 name = machine.info.name
                 log.info("{machine}: {k} makes room for {key}", machine=name, k=k[0], key=key[0])
         return True
 
+    def _grace(self, want: Want) -> float:
+        """How long a task that is stopped may take to save; one of a gang waits for the others."""
+        if not want.saves:
+            return 0.0
+        return want.save_s * SAVE_MARGIN + (self.timing.gang_peer if want.gang else 0.0)
+
     def _commands(self, machine: HeldMachine) -> list[dict[str, Any]]:
         """Orders that the difference between wants and reports calls for."""
         commands = []
@@ -540,12 +548,12 @@
             elif key in machine.unwanted:
                 grace = 0.0
             elif want is not None and want.action == STOP:
-                grace = want.save_s * 1.5 if want.saves else 0.0
+                grace = self._grace(want)
             elif key in machine.evicted:
                 grace = machine.evicted[key]
             elif want is not None and machine.notice_s is not None:
                 # The machine is about to go: save what can be saved, go on elsewhere.
-                grace = want.save_s * 1.5 if want.saves else 0.0
+                grace = self._grace(want)
             else:
                 grace = None
             if grace is not None and not (task.status == "saving" and grace > 0):
--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from beamspar.control import records
+from beamspar.control.gang import Gang, Phase
 from beamspar.control.records import LIVE, Chunk, JobRecord, Layout
 from beamspar.wire import Spec
 
@@ -64,6 +65,9 @@
         self.writing = False
         self.since = now
         self.stamp = ""
+        self.gang = Gang()
+        # How long a task of a gang waits for the others.
+        self.gang_wait_s = 0.0
         self.clearing: set[str] = set()
 
     @property
@@ -92,11 +96,28 @@
     def is_done(self, index: int) -> bool:
         return index in self.done.get(index // self.per, ())
 
+    def phase(self, now: float) -> Phase:
+        """What a gang's attempt needs now."""
+        left = self.spec.tasks - self.done_count
+        return self.gang.phase(left, self.bound, now, self.gang_wait_s)
+
+    @property
+    def next_attempt(self) -> int:
+        """A gang's tasks find each other by their attempt: it is one number for all."""
+        bound = [t.attempt for t in self.tasks.values() if t.machine is not None]
+        return max(bound) if bound else 1 + max((t.attempt for t in self.tasks.values()), default=0)
+
     def waiting(self, now: float, most: int) -> list[int]:
         """Indexes that may be placed now, those that ran before first."""
-        if self.status != LIVE or self.moving or (self.spec.is_gang and self.bound):
-            # A gang starts anew only after all of its old attempts are over.
+        if self.status != LIVE or self.moving:
             return []
+        if self.spec.is_gang:
+            phase = self.phase(now)
+            if phase is Phase.WAITING:
+                return self._all_waiting(now)
+            if phase is not Phase.INCOMPLETE:
+                # A gang starts anew only after all of its old attempts are over.
+                return []
         found: list[int] = []
         for index in self.again:
             if self.tasks[index].not_before <= now:
@@ -106,6 +127,12 @@
         rest = range(self.untouched, min(self.spec.tasks, self.untouched + most - len(found)))
         return found + list(rest)
 
+    def _all_waiting(self, now: float) -> list[int]:
+        """All unfinished tasks of a gang that has none bound, or none while one must pause."""
+        if any(self.tasks[index].not_before > now for index in self.again):
+            return []
+        return [*self.again, *range(self.untouched, self.spec.tasks)]
+
     def take(self, index: int) -> Task:
         """Mark a waiting task as about to be bound."""
         if index >= self.untouched:
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -26,7 +26,9 @@
     choose,
     choose_eviction,
     choose_group,
+    choose_group_eviction,
     copy,
+    has_room,
     per_gpu,
     trim,
 )
@@ -588,9 +590,14 @@
                     near,
                     preference=self.preference(spec),
                 )
+                if not group and spec.is_gang and spec.rank < 3:
+                    group = choose_group_eviction(spec, ask.count, rooms, ask.avoid)
                 for chosen in group:
+                    evict = not has_room(spec, chosen)
                     self._lend(spec, chosen, now)
-                    offers.append(Placed(spec.id, chosen.name))
+                    if evict:
+                        chosen.evictable = []
+                    offers.append(Placed(spec.id, chosen.name, evict))
                 self.wishes[spec.id] = (spec, 0 if group else ask.count, now)
                 continue
             preference = self.preference(spec)
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -34,6 +34,8 @@
     saves: bool = False
     save_s: float = 0.0
     evict: bool = False
+    # A task of a gang: stopping it costs all of them their time.
+    gang: bool = False
 
 
 class Sync(msgspec.Struct):
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
 from beamspar.control import records
+from beamspar.control.gang import Phase
 from beamspar.control.job import Job, Task
 from beamspar.control.job_writer import JobWriter
 from beamspar.control.messages import (
@@ -58,6 +59,18 @@
 LOOKS = 3
 
 
+class Unit(NamedTuple):
+    """Tasks of a job that are stopped together, and what that frees."""
+
+    # The lowest goes first.
+    order: tuple[Any, ...]
+    rank: int
+    cpus: float
+    gpus: float
+    job: Job
+    tasks: list[tuple[int, Task]]
+
+
 class Owner:
     """Owns the jobs of this controller's partitions."""
 
@@ -180,6 +193,7 @@
     async def _restore(self, record: JobRecord, version: int) -> Job:
         layout = records.layout_of(record, self.facts)
         job = Job(records.read_spec(record), record.partition, layout, self.clock.seconds())
+        job.gang_wait_s = self.timing.gang_wait
         job.version, job.status, job.stamp = version, record.status, record.stamp
         chunks = {0: record.chunk}
         if job.spec.tasks > layout.per:
@@ -267,6 +281,7 @@
         """Store a new job, with its first places if there is room; False: it is known."""
         layout = self.writer.layout_now()
         job = Job(spec, self.session.partition, layout, self.clock.seconds())
+        job.gang_wait_s = self.timing.gang_wait
         self.arriving[spec.id] = job
         try:
             return await self._accept(job)
@@ -529,7 +544,8 @@
             self._fill(job, rooms, near, now, warm_only=False)
 
     def _avoid(self, job: Job) -> set[str]:
-        found: set[str] = set()
+        # A new attempt may go where the one before was.
+        found: set[str] = set(job.gang.left if job.bound else ())
         for index in job.again:
             found |= job.tasks[index].avoid
         return found
@@ -596,11 +612,6 @@
         count = len(indexes)
         if self.budget is not None and not self.budget.covers(job, count, whole=count):
             return
-        if job.spec.is_gang:
-            # Members find each other by their attempt: it is one number for all.
-            level = max(task.attempt for task in [*job.tasks.values(), Task()])
-            for index in indexes:
-                job.tasks.setdefault(index, Task()).attempt = level
         for index, (machine, evict) in zip(indexes, places, strict=False):
             if not self._bind(job, index, machine, evict):
                 for done in indexes:
@@ -614,11 +625,16 @@
         """Bind a waiting task; the start waits until this is stored."""
         if self.budget is not None and not self.budget.take(job):
             return False
+        attempt = job.next_attempt if job.spec.is_gang else None
+        if job.spec.is_gang and not job.bound:
+            job.gang.begin()
         task = job.take(index)
-        task.attempt += 1
+        task.attempt = attempt or task.attempt + 1
         task.machine, task.stored, task.state = machine, False, ""
         task.number, task.evict, task.yields = 0, evict, False
         job.dirty.add(index // job.per)
+        if job.spec.is_gang and job.bound + job.done_count == job.spec.tasks:
+            job.gang.completed()
         self._place_on(machine, job, index, task)
         self.untold[(job.id, index)] = (job, task)
         log.info(
@@ -676,8 +692,21 @@
             return self._over_attempt(job, index, task, status)
         if task.state != status.state:
             task.state = status.state
+            if job.spec.is_gang:
+                self._gang_moved(job, status.state)
         return None
 
+    def _gang_moved(self, job: Job, state: str) -> None:
+        """One of a gang's tasks goes on: that may change what is wanted of all."""
+        stopping, known = job.gang.stopping, job.gang.known
+        job.gang.saw(state)
+        if job.gang.stopping != stopping:
+            log.info("{job}: one task stops, so all do", job=job.id)
+            self._touch_all(job)
+        elif not known:
+            # Restored with a task missing: now it can be told whether to replace it.
+            self.pump()
+
     def _over_attempt(self, job: Job, index: int, task: Task, status: Status) -> Job:
         now = self.clock.seconds()
         log.info(
@@ -695,18 +724,17 @@
             job.clearing.add(status.machine)
         if status.state == ENDED and status.why == "done" and not job.spec.is_service:
             job.done.setdefault(index // job.per, set()).add(index)
+            if job.spec.is_gang:
+                self._gang_done(job, now)
             job.done_count = sum(len(done) for done in job.done.values())
             return job
-        if job.spec.is_gang:
-            # Its other members are to be stopped now.
-            self._touch_all(job)
         if job.status == LIVE and self.session.is_withdrawn(job.id):
             # The holder knew of the withdrawal before we did: not to be bound once more.
             self._heed(job.id)
         elif job.status == LIVE:
-            # A gang that lost a member is stopped and tried again as a whole: without
-            # a pause it would be bound and refused as fast as records are written.
-            if job.spec.is_gang or status.why in ("error", "no_room", "unknown", "in_use"):
+            if job.spec.is_gang:
+                self._gang_lost(job, task, status, now)
+            elif status.why in ("error", "no_room", "unknown", "in_use"):
                 task.failures += 1
                 if status.why == "error":
                     task.avoid.add(status.machine)
@@ -719,6 +747,38 @@
             job.again.append(index)
         return job
 
+    def _gang_lost(self, job: Job, task: Task, status: Status, now: float) -> None:
+        """A gang's task is over without being done: it is replaced, or all are stopped."""
+        gang = job.gang
+        if status.why in ("alone", "error", "no_room", "unknown", "in_use") and not gang.stopping:
+            gang.failures += 1
+        # One that waited in vain was not completed in time; one whose peers are gone, or that
+        # has saved, had started. Otherwise the rest wait on for a replacement.
+        over = status.why in ("alone", "peers") or status.saved
+        gang.lose(status.machine, now, may_replace=not over)
+        if status.why == "error":
+            task.avoid.add(status.machine)
+            if len(task.avoid) > 4:
+                task.avoid.clear()
+        if status.state == REFUSED:
+            task.not_before = now + self.timing.beat / 2
+        else:
+            task.not_before = now + gang.pause(job.id, self.timing.retry)
+        self._touch_all(job)
+
+    def _gang_done(self, job: Job, now: float) -> None:
+        """A gang's tasks complete together: when one is done, all are."""
+        for index, task in job.tasks.items():
+            if task.machine is not None:
+                name = f"{job.id}/{index}"
+                clears = self.clears.setdefault(task.machine, {})
+                clears[(name, task.attempt)] = (job.partition, now)
+                job.clearing.add(task.machine)
+                self._unbind(job, index, task)
+            job.done.setdefault(index // job.per, set()).add(index)
+            job.dirty.add(index // job.per)
+        job.again.clear()
+
     # -- telling holders
 
     def sync(self) -> None:
@@ -796,7 +856,11 @@
                 # The room is spoken for at once: while the record was on its way, others
                 # used to take it, and the start was refused.
                 action = HOLD
-            elif job.status != LIVE or task.yields or (spec.is_gang and job.again):
+            elif (
+                job.status != LIVE
+                or task.yields
+                or (spec.is_gang and job.phase(self.clock.seconds()) is Phase.STOPPING)
+            ):
                 action = STOP
             else:
                 action = RUN
@@ -813,9 +877,10 @@
                     spec.image,
                     spec.image_gb,
                     spec.rank,
-                    spec.checkpoint_s > 0,
+                    spec.checkpoint_s > 0 and not (spec.is_gang and job.gang.broken),
                     spec.save_s,
                     task.evict,
+                    spec.is_gang,
                 )
             )
         clears = self.clears.get(machine, {})
@@ -837,6 +902,7 @@
             self._heed(name)
         self._drop_empty_partition()
         now = self.clock.seconds()
+        self._let_go(now)
         if self.budget and now - self.yielded_at >= self.timing.report:
             self.yielded_at = now
             self._yield()
@@ -844,6 +910,18 @@
         self._release_vanished()
         self.pump()
 
+    def _let_go(self, now: float) -> None:
+        """Gangs that found no replacement in time give back what they hold."""
+        for job in self.jobs.values():
+            gang = job.gang
+            if gang.missing_since is None or gang.stopping or job.status != LIVE:
+                continue
+            if job.bound and job.phase(now) is Phase.STOPPING:
+                log.info("{job}: not complete in time, let go", job=job.id)
+                gang.stopping = True
+                gang.failures += 1
+                self._touch_all(job)
+
     def _yield(self) -> None:
         """Higher work waits at its team's limit: lower work of the team makes room there.
 
@@ -855,30 +933,59 @@
             if not any(self.budget.yields(team, len(PRIORITIES))):
                 continue
             lower = [
-                (-job.spec.rank, task.machine in self.spot, not job.spec.checkpoint_s, -job.since,
-                 job.id, index, job, task)
+                unit
                 for job in self.jobs.values()
                 if job.spec.team == team and job.status == LIVE and job.spec.rank
-                for index, task in job.tasks.items()
-                if task.machine is not None and task.stored
-            ]  # fmt: skip
-            lacking = {r: self.budget.yields(team, r) for r in {-entry[0] for entry in lower}}
+                for unit in self._units(job)
+            ]
+            lacking = {unit.rank: self.budget.yields(team, unit.rank) for unit in lower}
             freed = [0.0, 0.0]
-            for entry in sorted(lower, key=lambda entry: entry[:6]):
-                index, job, task = entry[5:]
-                wanted = lacking[job.spec.rank]
+            for unit in sorted(lower, key=lambda unit: unit.order):
+                wanted = lacking[unit.rank]
                 if all(have + 1e-6 >= want for have, want in zip(freed, wanted, strict=True)):
                     break
-                freed = [freed[0] + job.spec.cpus, freed[1] + job.spec.gpus]
-                if not task.yields and task.machine is not None:
-                    task.yields = True
-                    self.touch(task.machine)
-                    log.info(
-                        "{job}/{index} yields to higher work of {team}",
-                        job=job.id,
-                        index=index,
-                        team=team,
-                    )
+                freed = [freed[0] + unit.cpus, freed[1] + unit.gpus]
+                self._stop_unit(unit, team)
+
+    def _units(self, job: Job) -> list[Unit]:
+        """What may be stopped of a job at a time: a task, or a gang as a whole."""
+        spec = job.spec
+        tasks = [
+            (index, task)
+            for index, task in job.tasks.items()
+            if task.machine is not None and task.stored
+        ]
+        groups = [tasks] if spec.is_gang and tasks else [[entry] for entry in tasks]
+        return [
+            Unit(
+                (
+                    -spec.rank,
+                    all(task.machine in self.spot for _, task in group),
+                    not spec.checkpoint_s,
+                    -job.since,
+                    job.id,
+                    group[0][0],
+                ),
+                spec.rank,
+                spec.cpus * len(group),
+                spec.gpus * len(group),
+                job,
+                group,
+            )
+            for group in groups
+        ]
+
+    def _stop_unit(self, unit: Unit, team: str) -> None:
+        for index, task in unit.tasks:
+            if not task.yields and task.machine is not None:
+                task.yields = True
+                self.touch(task.machine)
+                log.info(
+                    "{job}/{index} yields to higher work of {team}",
+                    job=unit.job.id,
+                    index=index,
+                    team=team,
+                )
 
     def _drop_empty_partition(self) -> None:
         """A former self's partition whose jobs are all over is of no use any more.
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -191,6 +191,26 @@
     return best
 
 
+def choose_group_eviction(
+    spec: Spec, count: int, rooms: list[Room], avoid: Collection[str] = ()
+) -> list[Room]:
+    """Machines for all of a group's tasks, where stopping lower work makes room, or none.
+
+    Machines with room count as they are; of the others, all lower work counts as stopped.
+    """
+    widened = []
+    for room in rooms:
+        wide = copy(room)
+        if spec.rank < len(room.evictable):
+            cpus, gpus, memory = room.evictable[spec.rank]
+            wide.cpus += cpus
+            wide.gpus += gpus
+            wide.memory_gb += memory
+        widened.append(wide)
+    by_name = {room.name: room for room in rooms}
+    return [by_name[room.name] for room in choose_group(spec, count, widened, {}, {}, avoid)]
+
+
 def choose_eviction(
     spec: Spec, rooms: Iterable[Room], zones: Mapping[str, int], avoid: Collection[str] = ()
 ) -> Room | None:
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -63,12 +63,26 @@
             self._break("wrong_place", f"{task}: too many in {zone}")
         if spec["together"] and any(z != zone for z in zones):
             self._break("wrong_place", f"{task}: apart from its job")
+        if spec["shape"] == "ensemble":
+            self._gang(job, attempt)
         self.on.setdefault(task, set()).add((machine, attempt))
         self._quota(spec["owner"])
         told = self.told.get(job)
         if told and told[0] == "withdrawn" and self.clock.seconds() > told[1] + self.cancel_s:
             self._break("ran_cancelled", f"{task} starts on {machine}")
 
+    def _gang(self, job: str, attempt: int) -> None:
+        """All run or none: an attempt begins when nothing of the one before is anywhere."""
+        old = {
+            (task, number)
+            for task, places in self.on.items()
+            if task.startswith(job + "/")
+            for _, number in places
+            if number != attempt
+        }
+        if old:
+            self._break("gang_mixed", f"{job} attempt {attempt} starts beside {sorted(old)}")
+
     def ordered(self, body: bytes) -> None:
         """Orders as they leave a controller: none may start what a user saw cancelled."""
         for order in unpack(body)["orders"]:
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -12,6 +12,7 @@
 from beamspar.wire import pack, unpack
 from tests.standins.checker import Checker
 from tests.standins.clock import SimClock
+from tests.standins.gangs import Gangs
 from tests.standins.net import Network
 
 
@@ -21,18 +22,18 @@
     def __init__(
         self, clock: SimClock, network: Network, checker: Checker, dice: random.Random,
         name: str, kind: dict[str, Any], zone: str, spot: bool, facts: dict[str, Any],
-        nodes: dict[str, str],
+        nodes: dict[str, str], gangs: Gangs,
     ) -> None:  # fmt: skip
         self.clock, self.network, self.checker, self.dice = clock, network, checker, dice
         self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
-        self.facts, self.nodes = facts, nodes
+        self.facts, self.nodes, self.gangs = facts, nodes, gangs
         self.address = f"{name}:9000"
         self.token, self.session, self.seq = 0, 1, 0
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.images: set[str] = set()
         self.leased_at = clock.seconds()
         self.target = dice.choice(sorted(nodes))
-        self.reporting = self.due = self.dead = self.hung = self.sick = False
+        self.reporting = self.due = self.dead = self.sick = self._hung = False
         self.notice: float | None = None
         self.last_sent = -1e9
         self.copies: list[bytes] = []
@@ -43,14 +44,26 @@
         clock.callLater(dice.random(), self._beat)
         self._lease()
 
+    @property
+    def hung(self) -> bool:
+        return self._hung
+
+    @hung.setter
+    def hung(self, on: bool) -> None:
+        if on and not self._hung:
+            self.gangs.hung(self)
+        self._hung = on
+
     def die(self) -> None:
         self.dead = True
         self.network.alive.discard(self.name)
         self._forget()
 
     def _forget(self) -> None:
-        for (task, attempt), _ in self.tasks.items():
+        for (task, attempt), state in self.tasks.items():
             self.checker.stop(task, attempt, self.name)
+            state["status"] = "ended"
+            self.gangs.gone((task, attempt))
         self.tasks.clear()
 
     def _lease(self) -> None:
@@ -62,7 +75,7 @@
             self._forget()
             self.session += 1
             self.leased_at = self.clock.seconds()
-            self._changed()
+            self.changed()
         self.clock.callLater(0.1, self._lease)
 
     def message(self) -> dict[str, Any]:
@@ -86,7 +99,8 @@
         wait = self.facts["report_s"] * (0.75 + 0.5 * self.dice.random())
         self.clock.callLater(wait, self._beat)
 
-    def _changed(self) -> None:
+    def changed(self) -> None:
+        """Report soon."""
         if not self.due:
             self.due = True
             wait = max(self.last_sent + 0.5 - self.clock.seconds(), 0.01)
@@ -132,7 +146,7 @@
     def _learn(self, token: int) -> None:
         if token > self.token:
             self.token = token
-            self._changed()
+            self.changed()
 
     async def handle(self, call: Call) -> Answer:
         while self.hung:
@@ -158,7 +172,9 @@
             elif order["verb"] == "kill" and task and task["status"] != "ended":
                 spec = self.checker.jobs[key[0].partition("/")[0]]
                 saves = spec["stamp_every_s"] > 0 and order["wind_down_s"] >= spec["stamp_s"]
-                if task["status"] == "running" and saves:
+                if spec["shape"] == "ensemble":
+                    self.gangs.kill(self, key, task, order["wind_down_s"])
+                elif task["status"] == "running" and saves:
                     task["status"] = "saving"
                     self.clock.callLater(spec["stamp_s"], self._end, key, task, "stopped")
                 elif task["status"] != "saving" or order["wind_down_s"] == 0:
@@ -166,7 +182,7 @@
             elif order["verb"] == "clear" and task and task["status"] == "ended":
                 del self.tasks[key]
         if orders:
-            self._changed()
+            self.changed()
 
     def _start(self, key: tuple[str, int]) -> None:
         spec = self.checker.jobs[key[0].partition("/")[0]]
@@ -200,11 +216,20 @@
         task["status"] = "running"
         if self.sick or spec.get("faulty"):
             self._end(key, task, "error")
+        elif spec["shape"] == "ensemble" and self.checker.done.get(job):
+            # The result of the whole gang is kept.
+            self._end(key, task, "done")
         elif int(index) in self.checker.done.get(job, set()):
             self._end(key, task, "done")
+        elif spec["shape"] == "ensemble":
+            self.gangs.gather(self, key, task)
         elif spec["shape"] == "sweep":
             self.clock.callLater(spec.get("run_s", 5.0), self._end, key, task, "done")
-        self._changed()
+        self.changed()
+
+    def finish(self, key: tuple[str, int], task: dict[str, Any], why: str) -> None:
+        """A task of a gang exits, for what happened to the others or to itself."""
+        self._end(key, task, why)
 
     def _end(self, key: tuple[str, int], task: dict[str, Any], why: str) -> None:
         if self.tasks.get(key) is not task or task["status"] == "ended" or self.dead:
@@ -212,11 +237,13 @@
         if self.hung:
             self.clock.callLater(0.5, self._end, key, task, why)
             return
-        task.update(status="ended", why=why, saved=task["status"] == "saving")
+        saved = task["status"] == "saving" and why == "stopped"
+        task.update(status="ended", why=why, saved=saved)
         self.checker.stop(key[0], key[1], self.name)
+        self.gangs.gone(key)
         if why == "done":
             self.checker.finish(key[0])
-        self._changed()
+        self.changed()
 
 
 class CloudStandin:
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -25,6 +25,7 @@
 from beamspar.wire import pack, unpack
 from tests.standins.checker import FINAL, Checker
 from tests.standins.clock import SimClock
+from tests.standins.gangs import Gangs
 from tests.standins.net import HostClock, HostNet, Network
 from tests.standins.state import StateStandin
 from tests.standins.workers import CloudStandin, Worker
@@ -50,7 +51,8 @@
         self.dice = random.Random(seed)
         self.network = Network(self.clock, self.dice)
         self.workers_facts = {
-            "report_s": 3.0, "lease_s": 15.0, "cancel_s": 45.0, **options.get("workers", {})
+            "report_s": 3.0, "lease_s": 15.0, "cancel_s": 45.0,
+            "gang_wait_s": 30.0, "gang_peer_s": 4.0, **options.get("workers", {})
         }  # fmt: skip
         teams = options.get("teams", [{"name": "red"}, {"name": "blue"}])
         self.checker = Checker(
@@ -58,6 +60,7 @@
             self.workers_facts["cancel_s"],
             {t["name"]: (t.get("cpus_max", 0.0), t.get("gpus_max", 0.0)) for t in teams},
         )
+        self.gangs = Gangs(self.clock, self.checker, self.dice, self.workers_facts)
         state = {"rps": 200.0, "write_rps": 60.0, "value_kb": 4.0, "txn_ops": 8}
         state.update(options.get("state", {}))
         self.state = StateStandin(self.clock, state, lambda: self.network.caller)
@@ -121,7 +124,7 @@
     def _new_worker(self, machine: dict[str, Any], kind: dict[str, Any]) -> Worker:
         return Worker(
             self.clock, self.network, self.checker, self.dice, machine["id"], kind,
-            machine["yard"], machine["standby"], self.workers_facts, self.addresses,
+            machine["yard"], machine["standby"], self.workers_facts, self.addresses, self.gangs,
         )  # fmt: skip
 
     def _sweep(self) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -95,7 +95,7 @@
                 worker.die()
             elif do == "notice":
                 worker.notice = 20.0
-                worker._changed()
+                worker.changed()
             elif do == "replay":
                 # Late copies of what the worker once reported, to every controller.
                 for body in worker.copies[:: step.get("every", 1)]:
@@ -164,6 +164,15 @@
         assert world.running(step["job"]) == step["running"], (where, step)
     if "started" in step:
         assert world.checker.starts.get(step["job"]) == step["started"], (where, step)
+    if "gang_saved" in step:
+        # Orderly stops of the whole that saved, and none that did not.
+        assert world.gangs.saved.get(step["job"], 0) >= step["gang_saved"], (where, step)
+        assert world.gangs.failed.get(step["job"], 0) == 0, (where, step)
+    if "kept_s" in step:
+        assert world.gangs.kept.get(step["job"], 0.0) >= step["kept_s"], (where, world.gangs.kept)
+    if "attempt" in step:
+        attempts = [a for (job, a) in world.gangs.attempts if job == step["job"]]
+        assert max(attempts, default=0) == step["attempt"], (where, step, attempts)
     if "refused" in step:
         over = [
             state
