--- a/tests/standins/releases.py
+++ b/tests/standins/releases.py
@@ -67,6 +67,7 @@
     try:
         importlib.import_module(f"{PACKAGE}.control.node")
         release = Release(_loaded())
+        _resolve(release)
     finally:
         sys.path.remove(str(folder / "src"))
         for name in _loaded():
@@ -77,6 +78,18 @@
     return release
 
 
+def _resolve(release: Release) -> None:
+    """Look up the annotations of all messages and records now.
+
+    msgspec does so at first use, in the module that goes by the name then: once these sources
+    are back in their place, production's messages would be made of our types.
+    """
+    for module in release.modules.values():
+        for value in vars(module).values():
+            if isinstance(value, type) and issubclass(value, msgspec.Struct):
+                msgspec.json.Decoder(value)
+
+
 def production_commit() -> str:
     deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
     return str(deploy["production"])
