At a team's limit who waited longest is first; gangs go to as few machines as can be

An entry of a team's record says when its first wish was served last; younger work takes nothing then, and only the eldest gathers a share that does not do yet. The first release ignores the added number.

--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -21,6 +21,9 @@
 
 log = Logger(namespace="budget")
 EPS = 1e-6
+# Where an entry of a team's record says the rank (from 1) of what lacks, and when that was
+# served last; the first release's entries end before the latter.
+RANK, SERVED = 2, 5
 # Below every rank of work.
 LOWEST = 99
 Pair = tuple[float, float]
@@ -31,12 +34,15 @@
     """Tasks of one job that wait for a share."""
 
     rank: int
-    since: float
+    # The revision at which it was served last: at its rank the lowest is first.
+    served: int
     cpus: float
     gpus: float
     tasks: int
     # It lasts a few beats unless repeated: a stale one would keep a share unused.
     until: float
+    # All of these tasks start together, so less than all is of no use.
+    whole: bool
 
 
 class Doubt(NamedTuple):
@@ -95,25 +101,30 @@
         fits = _within(cpus, share[0], team.cpus_max) and _within(gpus, share[1], team.gpus_max)
         # What is freed for waiting higher work is not for lower work that asks first.
         higher = any(wish.rank < spec.rank for wish in self.short.get(key, {}).values())
-        if fits and not higher and spec.rank < self._urgent(team.name, job.partition):
+        if fits and not higher and not self._others_first(team.name, job):
             return True
         until = self.session.clock.seconds() + self.session.timing.beat * 3
         wishes = self.short.setdefault(key, {})
         known = wishes.get(job.id)
         count = max(count, known.tasks) if known else count
-        wishes[job.id] = Short(spec.rank, job.since, spec.cpus, spec.gpus, count, until)
+        wishes[job.id] = Short(spec.rank, job.served, spec.cpus, spec.gpus, count, until, whole > 1)
         self._soon(team.name)
         return False
 
-    def take(self, job: Any) -> bool:
-        if not self.covers(job):
+    def take(self, job: Any, count: int = 1) -> bool:
+        """Use the share for so many tasks that start together, if it covers all of them."""
+        if not self.covers(job, count, whole=count):
             return False
-        self.restore_one(job, 1)
+        self.restore_one(job, count)
+        now = self.session.clock.seconds()
+        if now - job.served_at >= self.session.timing.report:
+            # Not for each task: every step is told in the team's record.
+            job.served, job.served_at = self.session.revision, now
         wishes = self.short.get((job.partition, job.spec.team), {})
         if job.id in wishes:
             wish = wishes.pop(job.id)
-            if wish.tasks > 1:
-                wishes[job.id] = wish._replace(tasks=wish.tasks - 1)
+            if wish.tasks > count:
+                wishes[job.id] = wish._replace(tasks=wish.tasks - count)
         return True
 
     def free(self, job: Any) -> None:
@@ -142,6 +153,19 @@
         said = (int(p[2]) for f, p in record.items() if f != partition and len(p) > 2)
         return min(said, default=LOWEST)
 
+    def _others_first(self, name: str, job: Any) -> bool:
+        """Does some partition say that it can't start higher work, or work of the same rank
+        that has waited longer? What ends here is for that then."""
+        record, _ = self._record(name)
+        if job.spec.rank >= self._urgent(name, job.partition):
+            return True
+        return any(
+            (int(entry[RANK]) - 1, entry[SERVED], partition)
+            < (job.spec.rank, job.served, job.partition)
+            for partition, entry in record.items()
+            if len(entry) > SERVED
+        )
+
     def yields(self, name: str, rank: int) -> Pair:
         """What work of this rank should give up now, for higher work that the team's limit
         keeps waiting, here or elsewhere. Each owner gives its part, round by round."""
@@ -237,18 +261,28 @@
             limit - sum(float(pair[i]) for pair in others) if limit else math.inf
             for i, limit in enumerate(limits)
         ]
-        need, met, first = list(used), True, 0
+        need, met, first, served = list(used), True, 0, 0
         lacking = [0.0, 0.0]
         urgent = self._urgent(team.name, partition)
+        elders = [
+            (int(entry[RANK]) - 1, entry[SERVED], name)
+            for name, entry in record.items()
+            if name != partition and len(entry) > SERVED
+        ]
         for wish in sorted(self.short.get(key, {}).values()):
-            # What lower work has yielded is not for other lower work to take again.
-            fit = wish.tasks if wish.rank < urgent else 0
+            # What lower work has yielded is not for other lower work to take again, nor what
+            # others have left for those that wait longer.
+            last = wish.rank >= urgent or any(
+                elder < (wish.rank, wish.served, partition) for elder in elders
+            )
+            fit = 0 if last or (first and wish.whole) else wish.tasks
             for i, size in enumerate((wish.cpus, wish.gpus)):
                 if size > 0 and room[i] < math.inf:
                     fit = min(fit, int((room[i] - need[i] + EPS) / size))
             need = [need[0] + max(fit, 0) * wish.cpus, need[1] + max(fit, 0) * wish.gpus]
             if fit < wish.tasks:
                 met = False
+                served = served if first else wish.served
                 first = first or wish.rank + 1
                 if first == wish.rank + 1:
                     left = wish.tasks - max(fit, 0)
@@ -268,7 +302,7 @@
             return share
         # Arrays start and end tasks all the time: a write for each would be too many.
         said = [round(x, 3) if first == 1 else _rounded(x) for x in lacking]
-        return (*share, first, *said)
+        return (*share, first, *said, served)
 
     def _start(self, name: str) -> None:
         if name not in self.busy and self.session.valid():
--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -65,6 +65,10 @@
         self.writing = False
         self.since = now
         self.stamp = ""
+        # The revision at which it was accepted or got a share of its team's limit last, and
+        # when: who has waited longest is first at the limit.
+        self.served = 0
+        self.served_at = now
         self.gang = Gang()
         # How long a task of a gang waits for the others.
         self.gang_wait_s = 0.0
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -195,6 +195,7 @@
         job = Job(records.read_spec(record), record.partition, layout, self.clock.seconds())
         job.gang_wait_s = self.timing.gang_wait
         job.version, job.status, job.stamp = version, record.status, record.stamp
+        job.served = version
         chunks = {0: record.chunk}
         if job.spec.tasks > layout.per:
             items, _ = await self.state.scan(layout.prefix(job.id), ACCEPT)
@@ -282,6 +283,7 @@
         layout = self.writer.layout_now()
         job = Job(spec, self.session.partition, layout, self.clock.seconds())
         job.gang_wait_s = self.timing.gang_wait
+        job.served = self.session.revision
         self.arriving[spec.id] = job
         try:
             return await self._accept(job)
@@ -537,7 +539,7 @@
             offered = by_id.get(offer.job)
             indexes = offered.waiting(now, 1) if offered else []
             if offered and indexes:
-                self._bind(offered, indexes[0], offer.machine, offer.evict)
+                self._take_and_bind(offered, indexes[0], offer.machine, offer.evict)
         rooms = self.rooms()
         self._reserve(rooms)
         for job in asked:
@@ -580,7 +582,7 @@
                 warm_only,
                 self.preference(job.spec),
             )
-            if room is None or not self._bind(job, index, room.name, False):
+            if room is None or not self._take_and_bind(job, index, room.name, False):
                 return
             room.take(job.spec)
 
@@ -610,21 +612,20 @@
         if len(places) < len(indexes):
             return
         count = len(indexes)
-        if self.budget is not None and not self.budget.covers(job, count, whole=count):
+        if self.budget is not None and not self.budget.take(job, count):
             return
         for index, (machine, evict) in zip(indexes, places, strict=False):
-            if not self._bind(job, index, machine, evict):
-                for done in indexes:
-                    task = job.tasks.get(done)
-                    if task is not None and task.machine is not None:
-                        self._unbind(job, done, task)
-                        job.again.append(done)
-                return
+            self._bind(job, index, machine, evict)
 
-    def _bind(self, job: Job, index: int, machine: str, evict: bool) -> bool:
-        """Bind a waiting task; the start waits until this is stored."""
+    def _take_and_bind(self, job: Job, index: int, machine: str, evict: bool) -> bool:
+        """Bind a waiting task if the team's share covers it."""
         if self.budget is not None and not self.budget.take(job):
             return False
+        self._bind(job, index, machine, evict)
+        return True
+
+    def _bind(self, job: Job, index: int, machine: str, evict: bool) -> None:
+        """Bind a waiting task; the start waits until this is stored."""
         attempt = job.next_attempt if job.spec.is_gang else None
         if job.spec.is_gang and not job.bound:
             job.gang.begin()
@@ -644,7 +645,6 @@
             attempt=task.attempt,
             machine=machine,
         )
-        return True
 
     def _unbind(self, job: Job, index: int, task: Task) -> None:
         if task.machine is not None:
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -116,6 +116,20 @@
     return crc32(f"{spec.id} {zone}".encode()) if spec.spread else 0
 
 
+def _company(
+    spec: Spec, room: Room, zones: Mapping[str, int], machines: Mapping[str, int]
+) -> tuple[int, int, int]:
+    """How well the room suits what the job has elsewhere; the least is best.
+
+    Replicas are spread over zones and machines. A gang runs at the speed of its slowest
+    machine and loses its progress with any of them: it goes to as few as can be.
+    """
+    if not spec.is_gang:
+        return zones.get(room.zone, 0), turn(spec, room.zone), machines.get(room.name, 0)
+    left = spec.tasks - sum(machines.values())
+    return int(room.name not in machines), -min(fitting(spec, room), left), 0
+
+
 def choose(
     spec: Spec,
     rooms: Iterable[Room],
@@ -145,9 +159,7 @@
             not warm and room.kind in preference.slow,
             spec.spot and not room.spot,
             not warm and room.fetching,
-            zones.get(room.zone, 0),
-            turn(spec, room.zone),
-            machines.get(room.name, 0),
+            *_company(spec, room, zones, machines),
             not warm and room.name not in near,
             room.gpus - spec.gpus,
             room.cpus - spec.cpus,
@@ -260,20 +272,20 @@
     )
 
 
+def fitting(spec: Spec, room: Room) -> int:
+    """How many tasks of this shape the room is large enough for."""
+    counts = [
+        int((have + EPS) / want)
+        for have, want in (
+            (room.cpus, spec.cpus),
+            (room.gpus, spec.gpus),
+            (room.memory_gb, spec.memory_gb),
+        )
+        if want > 0
+    ]
+    return max(min(counts, default=0), 0)
+
+
 def slots(spec: Spec, rooms: Iterable[Room]) -> int:
     """How many tasks of this shape would fit now."""
-    total = 0
-    for room in rooms:
-        if not allowed(spec, room, {}):
-            continue
-        counts = [
-            int((have + EPS) / want)
-            for have, want in (
-                (room.cpus, spec.cpus),
-                (room.gpus, spec.gpus),
-                (room.memory_gb, spec.memory_gb),
-            )
-            if want > 0
-        ]
-        total += max(min(counts, default=0), 0)
-    return total
+    return sum(fitting(spec, room) for room in rooms if allowed(spec, room, {}))
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -6,6 +6,7 @@
 
 from beamspar.control.budget import Budget
 from beamspar.control.job import Job
+from beamspar.control.records import Layout
 from beamspar.control.session import Partition, Session
 from beamspar.settings import (
     CloudFacts,
@@ -62,7 +63,7 @@
 
 def job(cpus: float, tasks: int = 1) -> Job:
     spec = Spec("j-1", "front", "red", "sweep", "normal", tasks, cpus, 0.0, 1.0, "img", 1.0)
-    return Job(spec, "rig-0.1", 46, 0.0)
+    return Job(spec, "rig-0.1", Layout(46), 0.0)
 
 
 def test_what_a_write_in_doubt_gave_back_is_not_used_again() -> None:
