--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -160,7 +160,8 @@
         zones: set[str] = set()
         have: list[str] = []
         total = 0
-        for spec, count in needs:
+        for need, count in needs:
+            spec = self.in_one_zone(need, count, rooms)
             # What this need takes is not there for the next.
             missing = count - self.take(spec, count, rooms)
             if missing <= 0:
@@ -186,6 +187,18 @@
         level = -(-(len(have) + total) // len(zones)) - have.count(place[1])
         return place, max(min(level, total, MOST_AT_ONCE), 1)
 
+    def in_one_zone(self, spec: Spec, count: int, rooms: list[Room]) -> Spec:
+        """A job whose tasks must share a zone, as if it named the one that suits it best: with
+        room for all, else with the most room of those where machines can be had."""
+        if not spec.grouped or not spec.one_zone or spec.zone is not None:
+            return spec
+        names = sorted({zone for kind in self.types.values() for zone in kind.zones})
+        bound = [msgspec.structs.replace(spec, zone=name) for name in names]
+        bound.sort(key=lambda choice: -slots(choice, rooms))
+        if not bound or slots(bound[0], rooms) >= count:
+            return bound[0] if bound else spec
+        return next((choice for choice in bound if self._where(choice, rooms)), bound[0])
+
     def take(self, spec: Spec, count: int, rooms: list[Room]) -> int:
         """Take room for so many tasks; how many found some."""
         taken = 0
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -18,6 +18,7 @@
 from beamspar.control import records
 from beamspar.control.fleet import Fleet
 from beamspar.control.messages import Ask, Directions, JobClass, Offers, Placed, Summary, View
+from beamspar.control.reservations import Reservations
 from beamspar.control.session import BLOCK, LEADER, PARTITION, Block, Machine, Session, block_record
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import (
@@ -95,6 +96,8 @@
         self.loans: dict[str, list[tuple[Spec, float]]] = {}
         self.seen: dict[str, tuple[Machine, float]] = {}
         self.wishes: dict[str, tuple[Spec, int, float]] = {}
+        # Machines kept for large gangs that waited long.
+        self.reservations = Reservations(timing)
         # What a job of each class that was ever heard of asks for.
         self.shapes: dict[str, Spec] = {}
         # The cache map: each machine's images, and at which count they changed last.
@@ -524,6 +527,7 @@
             retire,
             caches,
             self.caches_count,
+            sorted(self.reservations.machines(self.clock.seconds())),
         )
 
     def _cached(self, name: str, images: dict[str, float], kind: str = "") -> None:
@@ -573,17 +577,19 @@
             return Offers(offers)
         now = self.clock.seconds()
         rooms = self.rooms()
+        self.reservations.update(asks, rooms, now)
         near = {r.name for r in rooms if (self.session.holder_of(r.name) or ("", 0))[0] == member}
         for ask in asks:
             spec = msgspec.convert(ask.spec, Spec)
             zones, machines = dict(ask.zones), dict(ask.machines)
             left = min(ask.count, 200)
             room: Room | None
+            allowed = self.reservations.open_to(spec, rooms)
             if spec.grouped and not ask.zones:
                 group = choose_group(
                     spec,
                     ask.count,
-                    rooms,
+                    allowed,
                     {},
                     {},
                     ask.avoid,
@@ -591,7 +597,7 @@
                     preference=self.preference(spec),
                 )
                 if not group and spec.is_gang and spec.rank < 3:
-                    group = choose_group_eviction(spec, ask.count, rooms, ask.avoid)
+                    group = choose_group_eviction(spec, ask.count, allowed, ask.avoid)
                 for chosen in group:
                     evict = not has_room(spec, chosen)
                     self._lend(spec, chosen, now)
@@ -602,10 +608,12 @@
                 continue
             preference = self.preference(spec)
             while left:
-                room = choose(spec, rooms, zones, machines, ask.avoid, near, preference=preference)
+                room = choose(
+                    spec, allowed, zones, machines, ask.avoid, near, preference=preference
+                )
                 evict = False
                 if room is None and spec.rank < 3:
-                    room = choose_eviction(spec, rooms, zones, ask.avoid)
+                    room = choose_eviction(spec, allowed, zones, ask.avoid)
                     evict = room is not None
                 if room is None:
                     break
@@ -752,7 +760,8 @@
             room.usable = True
         whole = {room.name: room.cpus for room in spare}
         for spec, count in self._needs():
-            self.fleet.take(spec, count * 2, rooms + spare)
+            kept = self.fleet.in_one_zone(spec, count * 2, rooms + spare)
+            self.fleet.take(kept, count * 2, rooms + spare)
         unused = {room.name for room in spare if room.cpus == whole[room.name]}
         self.retiring = {}
         most = max(int(len(self.session.block_of) * RETIRE_AT_ONCE), 1)
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -153,6 +153,8 @@
     # Machines whose cached images changed, for whoever holds them next.
     caches: dict[str, dict[str, float]] = {}
     caches_known: int = 0
+    # Machines that only the leader lends: a large gang has waited long for them.
+    reserved: list[str] = []
 
 
 class Pulse(msgspec.Struct):
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -38,7 +38,7 @@
 from beamspar.control.owner import Owner
 from beamspar.control.session import Machine, Session
 from beamspar.http import Answer, Call, CallFailed, Clock, Net, Sockets, sleep, spawn
-from beamspar.placement import Preference, slow_kinds
+from beamspar.placement import Preference, Room, slow_kinds
 from beamspar.settings import Settings, Timing, Tuning
 from beamspar.state import Conflict, NoLease, StateClient, StateDown, put
 from beamspar.wire import BODY_LIMIT, MachineType, Spec, convert, pack, unpack
@@ -83,6 +83,7 @@
         self.pushes: dict[str, list[Status]] = {}
         self.strays: dict[str, float] = {}
         self.per_gpu = (0.0, 0.0)
+        self.reserved: frozenset[str] = frozenset()
         self.caches: dict[str, dict[str, float]] = {}
         self.caches_known = 0
         # When the state service served each sibling last, by its own word.
@@ -136,7 +137,7 @@
         owner.budget = budget
         budget.loaded = lambda: owner.loaded
         budget.on_share = owner.pump
-        owner.rooms, owner.ask, owner.send = holder.rooms, self._ask, self._send_syncs
+        owner.rooms, owner.ask, owner.send = self._rooms, self._ask, self._send_syncs
         owner.preference = leader.preference = self._preference
         leader.unreached = self.unreached.get
         holder.caches = self.caches
@@ -150,6 +151,12 @@
         await owner.load()
         self.ready = True
 
+    def _rooms(self) -> list[Room]:
+        """Our machines' room that the owner here may use without the leader's word."""
+        if self.holder is None:
+            return []
+        return [room for room in self.holder.rooms() if room.name not in self.reserved]
+
     def _again(self, session: Session) -> None:
         if session is self.session:
             self.session = self.holder = self.owner = self.leader = self.budget = None
@@ -477,6 +484,7 @@
 
     def _follow(self, directions: Directions) -> None:
         self.per_gpu = directions.per_gpu
+        self.reserved = frozenset(directions.reserved)
         self.caches_known = directions.caches_known
         self.caches.update(directions.caches)
         held = self.session.block_of if self.session else {}
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -170,6 +170,8 @@
         self.order = w.report_s * 0.67
         # How long a connection without a request stays open: a few reports' time.
         self.keep_open = w.report_s * 5
+        # How long a gang waits before machines are kept for it.
+        self.starved = self.gang_wait * 1.5
         self.silent = w.report_s * 2.5
         # A worker that nobody answers comes round to each controller within this time. Its
         # holder counts as out of reach after the other: early enough for another to answer
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,50 @@
+"""What is rented for jobs whose tasks must share a zone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from beamspar.control.fleet import Fleet
+from beamspar.placement import Room
+from beamspar.settings import Timing, Tuning
+from beamspar.wire import MachineType, Spec
+from tests.standins.clock import SimClock
+from tests.test_budget import settings
+
+ZONES = ["east", "south", "west"]
+BIG = MachineType("big", 32.0, 0.0, 64.0, zones=ZONES)
+GANG = Spec(
+    "j-1", "merge", "red", "ensemble", "normal", 4, 30.0, 0.0, 1.0, "img", 1.0, one_zone=True
+)
+
+
+def rooms(**free: int) -> list[Room]:
+    return [
+        Room(f"host-{zone}-{n}", "big", zone, False, 32.0, 0.0, 64.0)
+        for zone, count in free.items()
+        for n in range(count)
+    ]
+
+
+def fleet() -> Fleet:
+    unused: Any = None
+    timing = Timing(settings(), Tuning())
+    return Fleet(SimClock(), unused, unused, settings(), timing, {"big": BIG})
+
+
+def test_room_that_lies_in_several_zones_is_none_for_a_gang_of_one() -> None:
+    place, count = fleet().plan([(GANG, 4)], rooms(east=3, south=2, west=3)) or (("", "", False), 0)
+    assert place == ("big", "east", False)
+    assert count == 1
+
+
+def test_nothing_is_rented_when_one_zone_has_room_for_all() -> None:
+    assert fleet().plan([(GANG, 4)], rooms(east=2, west=4)) is None
+
+
+def test_a_zone_without_machines_to_rent_is_passed_over() -> None:
+    rented = fleet()
+    rented.refused[("big", "east", False)] = (1e9, 1.0)
+    place, count = rented.plan([(GANG, 4)], rooms(east=3, west=2)) or (("", "", False), 0)
+    assert place == ("big", "west", False)
+    assert count == 2
