--- a/src/beamspar/cloud.py
+++ b/src/beamspar/cloud.py
@@ -6,15 +6,15 @@
 
 import msgspec
 
-from beamspar.http import CallFailed, Net
-from beamspar.wire import BadInput, MachineType, Rental, convert, pack, unpack
+from beamspar.http import CallFailedError, Net
+from beamspar.wire import InvalidInputError, MachineType, Rental, convert, pack, unpack
 
 
-class CloudDown(Exception):
+class CloudUnavailableError(Exception):
     """No usable answer; a request to rent or return may yet be carried out."""
 
 
-class NoCapacity(Exception):
+class NoCapacityError(Exception):
     """None to be had of this type, zone and kind."""
 
 
@@ -29,20 +29,20 @@
         try:
             answer = await self.net.request(method, self.address, path, raw, self.limit_s)
             data = unpack(answer.body) if answer.body else {}
-        except (CallFailed, msgspec.DecodeError) as error:
-            raise CloudDown(str(error)) from error
+        except (CallFailedError, msgspec.DecodeError) as error:
+            raise CloudUnavailableError(str(error)) from error
         if answer.status == 503 and isinstance(data, dict) and data.get("error") == "no capacity":
-            raise NoCapacity
+            raise NoCapacityError
         if answer.status != 200 or not isinstance(data, dict):
-            raise CloudDown(f"{method} {path}: {answer.status}")
+            raise CloudUnavailableError(f"{method} {path}: {answer.status}")
         return answer.status, data
 
     async def types(self) -> list[MachineType]:
         _, data = await self._call("GET", "/machine_types")
         try:
             found: list[MachineType] = convert(data.get("rig_kinds"), list[MachineType])
-        except BadInput as error:
-            raise CloudDown(f"odd reply: {error}") from error
+        except InvalidInputError as error:
+            raise CloudUnavailableError(f"odd reply: {error}") from error
         return found
 
     async def rent(self, name: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
@@ -50,7 +50,7 @@
         _, data = await self._call("POST", "/rentals", body)
         rigs = data.get("rigs")
         if not isinstance(rigs, list):
-            raise CloudDown("odd reply to a rental")
+            raise CloudUnavailableError("odd reply to a rental")
         return [str(r) for r in rigs]
 
     async def give_back(self, names: list[str]) -> None:
@@ -64,8 +64,8 @@
             _, data = await self._call("GET", path)
             try:
                 page: list[Rental] = convert(data.get("rigs"), list[Rental])
-            except BadInput as error:
-                raise CloudDown(f"odd reply: {error}") from error
+            except InvalidInputError as error:
+                raise CloudUnavailableError(f"odd reply: {error}") from error
             found.extend(page)
             if not data.get("truncated") or not page:
                 return found
--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -15,10 +15,10 @@
 from beamspar.control.session import Machine
 from beamspar.http import Answer, Call, spawn
 from beamspar.placement import fits_type
-from beamspar.state import URGENT, Conflict, NoLease, StateDown, put
+from beamspar.state import URGENT, ConflictError, LeaseExpiredError, StateUnavailableError, put
 from beamspar.wire import (
     JOB_ID,
-    BadInput,
+    InvalidInputError,
     Spec,
     job_answer,
     pack,
@@ -97,8 +97,8 @@
                 len(msgspec.json.encode(spec))
                 > self.node.settings.facts.state.smallest.value_kb * 480
             ):
-                raise BadInput("the description is too long to be stored")
-        except BadInput as error:
+                raise InvalidInputError("the description is too long to be stored")
+        except InvalidInputError as error:
             return await self._known_or(job, reply(400, {"error": str(error)}))
         if job in self.ends or (self.node.owner and job in self.node.owner.jobs):
             return await self._poll(job)
@@ -115,11 +115,11 @@
         self.submitting += 1
         try:
             await owner.accept(spec)
-        except Conflict as error:
+        except ConflictError as error:
             if records.job_key(job) in error.failed or records.end_key(job) in error.failed:
                 return await self._poll(job)
             return busy()
-        except (StateDown, NoLease) as error:
+        except (StateUnavailableError, LeaseExpiredError) as error:
             log.info("{job} not accepted: {error}", job=job, error=error)
             return busy()
         finally:
@@ -153,10 +153,10 @@
         asked = self.node.clock.seconds()
         try:
             found = await self._state_of(job)
-        except StateDown as error:
+        except StateUnavailableError as error:
             log.debug("poll of {job}: {error}", job=job, error=error)
             return busy()
-        late = self.node.clock.seconds() - asked > self.node.timing.beat * 2
+        late = self.node.clock.seconds() - asked > self.node.timing.heartbeat * 2
         if late and (found is None or found["status"] not in (WITHDRAWN, records.DONE)):
             # The state service's word was held up on its way: others may have told
             # the user of the job's end meanwhile, or accepted it: this would be older.
@@ -217,7 +217,7 @@
         try:
             return msgspec.convert(value, kind)
         except msgspec.ValidationError as error:
-            raise StateDown(f"odd record: {error}") from error
+            raise StateUnavailableError(f"odd record: {error}") from error
 
     def _remember(self, cache: OrderedDict[str, Any], job: str, value: Any) -> None:
         cache[job] = value
@@ -250,9 +250,9 @@
             try:
                 await self.node.state.multi(conditions, [], 1)
                 failed: set[str] | None = set()
-            except Conflict as error:
+            except ConflictError as error:
                 failed = set(error.failed)
-            except (StateDown, NoLease):
+            except (StateUnavailableError, LeaseExpiredError):
                 failed = None
             for name, waiting in part.items():
                 key = name.partition("\n")[0]
@@ -284,7 +284,7 @@
                     return reply(200, {"id": job, "status": WITHDRAWN})
                 if await self._store_withdrawal(job, item.version, record):
                     return reply(200, {"id": job, "status": WITHDRAWN})
-        except (StateDown, NoLease) as error:
+        except (StateUnavailableError, LeaseExpiredError) as error:
             log.info("withdrawal of {job}: {error}", job=job, error=error)
         return busy()
 
@@ -297,7 +297,7 @@
                 [put(records.job_key(job), value), put(records.mark_key(job), {"t": 1})],
                 URGENT,
             )
-        except Conflict:
+        except ConflictError:
             return False
         log.info("{job} withdrawn by its user", job=job)
         session = self.node.session
@@ -311,7 +311,7 @@
     def _report(self, call: Call) -> Answer:
         try:
             report = parse_report(call.body)
-        except BadInput as error:
+        except InvalidInputError as error:
             log.info("malformed report: {error}", error=error)
             return reply(400, {"error": str(error)})
         node = self.node
--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -3,7 +3,7 @@
 `c/budget/<team>` lists what each partition may use; the shares never sum to more than
 the limit, whoever dies or lags, because every change of the record is a
 compare-and-set. A share moves with its partition, so a dead controller's use counts
-until its heir has proven its tasks gone.
+until its successor has proven its tasks gone.
 """
 
 from __future__ import annotations
@@ -17,7 +17,15 @@
 from beamspar.control.session import Session
 from beamspar.http import spawn
 from beamspar.settings import Settings, Team
-from beamspar.state import PLACE, Conflict, InDoubt, NoLease, StateClient, StateDown, put
+from beamspar.state import (
+    PLACE,
+    ConflictError,
+    LeaseExpiredError,
+    OutcomeUnknownError,
+    StateClient,
+    StateUnavailableError,
+    put,
+)
 
 log = Logger(namespace="budget")
 EPS = 1e-6
@@ -39,7 +47,7 @@
     cpus: float
     gpus: float
     tasks: int
-    # It lasts a few beats unless repeated: a stale one would keep a share unused.
+    # It lasts a few heartbeats unless repeated: a stale one would keep a share unused.
     until: float
     # All of these tasks start together, so less than all is of no use.
     whole: bool
@@ -103,7 +111,7 @@
         higher = any(wish.rank < spec.rank for wish in self.short.get(key, {}).values())
         if fits and not higher and not self._others_first(team.name, job):
             return True
-        until = self.session.clock.seconds() + self.session.timing.beat * 3
+        until = self.session.clock.seconds() + self.session.timing.heartbeat * 3
         wishes = self.short.setdefault(key, {})
         known = wishes.get(job.id)
         count = max(count, known.tasks) if known else count
@@ -342,11 +350,11 @@
                 )
                 self.session.learn(f"c/budget/{name}", record, revision)
                 log.info("team {team}: shares {value}", team=name, value=record)
-        except InDoubt as error:
+        except OutcomeUnknownError as error:
             # It may be applied yet: its shares stay in doubt until the record moves on.
             log.info("budget in doubt: {error}", error=error)
             return
-        except (Conflict, StateDown, NoLease) as error:
+        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info("budget waits: {error}", error=error)
         finally:
             self.busy.discard(name)
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -11,7 +11,7 @@
 import msgspec
 from twisted.logger import Logger
 
-from beamspar.cloud import CloudClient, CloudDown, NoCapacity
+from beamspar.cloud import CloudClient, CloudUnavailableError, NoCapacityError
 from beamspar.control.session import Session
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import Room, copy, fits_type, slots
@@ -114,7 +114,7 @@
                 self.due.difference_update(names)
                 try:
                     await self.cloud.give_back(names)
-                except (CloudDown, NoCapacity) as error:
+                except (CloudUnavailableError, NoCapacityError) as error:
                     # Who asked for it asks again while it is so.
                     log.info("returning {names} waits: {error}", names=names, error=error)
                 else:
@@ -238,7 +238,7 @@
         kind, zone, spot = place
         try:
             names = await self._rent(name, kind, zone, spot, count)
-        except NoCapacity:
+        except NoCapacityError:
             _, pause = self.refused.get(place, (0.0, self.lag / 2))
             pause = min(pause * 2, self.lag * 3)
             self.refused[place] = (self.clock.seconds() + pause, pause)
@@ -256,6 +256,6 @@
         """Once more under the same name when the answer was lost: it rents only once."""
         try:
             return await self.cloud.rent(name, kind, zone, spot, count)
-        except CloudDown as error:
+        except CloudUnavailableError as error:
             log.info("rental {name} repeated: {error}", name=name, error=error)
         return await self.cloud.rent(name, kind, zone, spot, count)
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -27,7 +27,7 @@
     Want,
 )
 from beamspar.control.session import Machine, Session
-from beamspar.http import CallFailed, Clock, spawn
+from beamspar.http import CallFailedError, Clock, spawn
 from beamspar.placement import Room, copy, trim
 from beamspar.settings import Timing
 from beamspar.wire import MachineType, Report, TaskReport, order_clear, order_start, order_stop
@@ -71,9 +71,9 @@
         self.starts: dict[Key, Start] = {}
         self.over: dict[Key, str] = {}
         self.wants: dict[Key, Want] = {}
-        self.strangers: dict[Key, float] = {}
+        self.unknown_since: dict[Key, float] = {}
         # Those whose record is being asked for.
-        self.judged: set[Key] = set()
+        self.being_checked: set[Key] = set()
         self.unwanted: set[Key] = set()
         self.evicted: dict[Key, float] = {}
         self.images: dict[str, float] = {}
@@ -93,7 +93,7 @@
         self.bad = False
         self.told: dict[Key, tuple[Any, ...]] = {}
         self.partition_of: dict[Key, str] = {}
-        # Nothing is due here before something changes: the beat passes it by.
+        # Nothing is due here before something changes: the regular check passes it by.
         self.calm = False
         self.room: Room | None = None
         self.changed = 0
@@ -423,7 +423,7 @@
                 changed = True
                 if key in machine.tasks and machine.tasks[key].status != "fetching":
                     self._cache(machine, want.image, want.image_gb)
-            machine.strangers.pop(key, None)
+            machine.unknown_since.pop(key, None)
         if changed:
             machine.touch()
         return changed
@@ -457,7 +457,7 @@
             self.push(owner, statuses)
 
     def untold(self, statuses: list[Status]) -> None:
-        """These did not reach their owner: they are told again with the next beat."""
+        """These did not reach their owner: they are told again with the next heartbeat."""
         for status in statuses:
             machine = self.machines.get(status.machine)
             if machine is not None and machine.number == status.number:
@@ -576,25 +576,25 @@
             withdrawn = self.session.is_withdrawn(key[0].partition("/")[0])
             if start is not None and start.answered and not start.doubt:
                 # It was there, and a newer report does not list it.
-                self._bury(machine, key, GONE)
+                self._mark_over(machine, key, GONE)
             elif want.action == HOLD:
                 if not self._usable(machine) or not (want.evict or self._fits(machine, key, want)):
-                    self._bury(machine, key, REFUSED)
+                    self._mark_over(machine, key, REFUSED)
             elif want.action == RUN and not withdrawn:
                 if start is not None:
                     commands.append(order_start(*key))
                 elif not self._usable(machine):
-                    self._bury(machine, key, REFUSED)
+                    self._mark_over(machine, key, REFUSED)
                 elif self._fits(machine, key, want):
                     commands.append(order_start(*key))
                 elif not (want.evict and self._evict(machine, key, want)):
-                    self._bury(machine, key, REFUSED)
+                    self._mark_over(machine, key, REFUSED)
             elif start is None:
                 # A fresh report does not list it, older numbers are fenced out and
                 # this one never sent it.
-                self._bury(machine, key, GONE)
+                self._mark_over(machine, key, GONE)
             elif machine.void(start):
-                self._bury(machine, key, GONE)
+                self._mark_over(machine, key, GONE)
             elif not machine.ordering:
                 self._raise_token(machine)
                 return commands
@@ -626,7 +626,7 @@
                 token=machine.token,
             )
 
-    def _bury(self, machine: HeldMachine, key: Key, state: str) -> None:
+    def _mark_over(self, machine: HeldMachine, key: Key, state: str) -> None:
         machine.over[key] = state
         if len(machine.over) > MOST_OVER:
             # A number lasts for weeks now; nobody asks for the oldest any more.
@@ -681,7 +681,7 @@
                 )
         try:
             done, report = await self.workers.order(machine.info.address, token, session, commands)
-        except CallFailed as error:
+        except CallFailedError as error:
             for _, start in sent:
                 start.doubt = True
             machine.failed_orders += 1
@@ -713,7 +713,7 @@
     # -- time
 
     def tick(self) -> None:
-        """Leases that ran out, strangers, and whatever waits for another try."""
+        """Leases that ran out, unknown tasks, and whatever waits for another try."""
         now = self.clock.seconds()
         if not self.session.valid():
             return
@@ -722,14 +722,14 @@
         known = min(now, self.session.watched_at)
         for machine in list(self.machines.values()):
             if not machine.lost and known > machine.last_answer + self.timing.worker_gone:
-                self._lose(machine)
+                self._expire(machine)
             if machine.calm:
                 continue
             if machine.fresh:
-                self._check_strangers(machine, now)
+                self._check_unknown_tasks(machine, now)
             self.step(machine)
 
-    def _lose(self, machine: HeldMachine) -> None:
+    def _expire(self, machine: HeldMachine) -> None:
         """Nobody answered the worker for longer than its lease: all on it is gone."""
         log.warn("{machine} is silent beyond its lease", machine=machine.info.name)
         machine.lost = True
@@ -737,30 +737,30 @@
         machine.min_session = machine.session + 1 if machine.session else 0
         for key in set(machine.wants) | set(machine.starts) | set(machine.tasks):
             if key not in machine.over:
-                self._bury(machine, key, GONE)
+                self._mark_over(machine, key, GONE)
         machine.tasks.clear()
         machine.touch()
         self._tell(machine)
 
-    def _check_strangers(self, machine: HeldMachine, now: float) -> None:
-        for key in list(machine.strangers):
+    def _check_unknown_tasks(self, machine: HeldMachine, now: float) -> None:
+        for key in list(machine.unknown_since):
             if key not in machine.tasks or key in machine.wants:
-                del machine.strangers[key]
+                del machine.unknown_since[key]
         for key in machine.tasks:
             if key in machine.wants or key in machine.unwanted:
                 continue
-            since = machine.strangers.setdefault(key, now)
-            if now - since > self.timing.stranger and key not in machine.judged:
-                machine.strangers[key] = now
-                spawn(self._judge(machine, key), "stranger")
+            since = machine.unknown_since.setdefault(key, now)
+            if now - since > self.timing.unknown_task and key not in machine.being_checked:
+                machine.unknown_since[key] = now
+                spawn(self._check_unknown_task(machine, key), "stranger")
 
-    async def _judge(self, machine: HeldMachine, key: Key) -> None:
+    async def _check_unknown_task(self, machine: HeldMachine, key: Key) -> None:
         """A task that no owner speaks for: the stored record decides."""
-        machine.judged.add(key)
+        machine.being_checked.add(key)
         try:
             bound = await self.verdict(key[0], key[1], machine.info.name)
         finally:
-            machine.judged.discard(key)
+            machine.being_checked.discard(key)
         if bound is False and key in machine.tasks and key not in machine.wants:
             log.info("{machine}: {key} belongs to nobody", machine=machine.info.name, key=key)
             machine.unwanted.add(key)
--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -163,7 +163,7 @@
         for index in range(low, min(high, self.untouched)):
             task = self.tasks.get(index)
             # A task whose `done` is not stored yet is still among the tasks: listed
-            # as waiting, an heir would run and count it twice.
+            # as waiting, a successor would run and count it twice.
             if task is None or self.is_done(index):
                 continue
             if task.machine is not None:
--- a/src/beamspar/control/job_writer.py
+++ b/src/beamspar/control/job_writer.py
@@ -20,12 +20,12 @@
 from beamspar.state import (
     CHORE,
     PLACE,
-    Conflict,
-    InDoubt,
-    NoLease,
-    Rejected,
+    ConflictError,
+    LeaseExpiredError,
+    OutcomeUnknownError,
     StateClient,
-    StateDown,
+    StateUnavailableError,
+    TooLargeError,
     drop,
     put,
 )
@@ -176,7 +176,7 @@
         ]
         try:
             version = await self.state.multi(self._conditions(job), changes, PLACE, job.weight)
-        except (Conflict, StateDown, NoLease) as error:
+        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info("{job}: new layout waits: {error}", job=job.id, error=error)
             await sleep(self.clock, self.timing.retry)
             await self.reread(job)
@@ -211,7 +211,7 @@
         finished = [index for n in numbers for index in job.done.get(n, ())]
         try:
             version = await self.state.multi(conditions, changes, PLACE, job.weight)
-        except Conflict as error:
+        except ConflictError as error:
             job.dirty.update({0, *numbers} if job.moving else numbers)
             log.info("{job}: write lost to {failed}", job=job.id, failed=error.failed)
             if key not in error.failed:
@@ -219,15 +219,15 @@
                 await sleep(self.clock, self.timing.retry)
             await self._reread_all(job)
             return False
-        except (StateDown, NoLease) as error:
+        except (StateUnavailableError, LeaseExpiredError) as error:
             # In doubt it may be applied yet, even late; the record's version tells
             # the two apart at the next write, so nothing is decided here.
             job.dirty.update({0, *numbers} if job.moving else numbers)
             log.info("{job}: write waits: {error}", job=job.id, error=error)
             await sleep(self.clock, self.timing.retry)
-            if isinstance(error, Rejected):
+            if isinstance(error, TooLargeError):
                 log.error("{job}: larger than the state service takes", job=job.id)
-            if isinstance(error, InDoubt):
+            if isinstance(error, OutcomeUnknownError):
                 await self._reread_all(job)
             return False
         job.version = version
@@ -249,7 +249,7 @@
         """The stored record moved under us: learn what it says now."""
         try:
             item = await self.state.get(records.job_key(job.id), PLACE)
-        except StateDown:
+        except StateUnavailableError:
             return
         if self.book.jobs.get(job.id) is not job:
             return
@@ -277,7 +277,7 @@
             layout = job.layout
             try:
                 items, _ = await self.state.scan(layout.prefix(job.id), PLACE)
-            except StateDown:
+            except StateUnavailableError:
                 return
             if job.layout != layout:
                 return
@@ -298,13 +298,13 @@
             changes.append(drop(records.mark_key(job.id)))
         try:
             await self.state.multi({**self._conditions(job), end: 0}, changes, DONE_PRIORITY)
-        except Conflict:
+        except ConflictError:
             await self.reread(job)
             return job.id not in self.book.jobs
-        except (StateDown, NoLease) as error:
+        except (StateUnavailableError, LeaseExpiredError) as error:
             log.info("{job}: end waits: {error}", job=job.id, error=error)
             await sleep(self.clock, self.timing.retry)
-            if isinstance(error, InDoubt):
+            if isinstance(error, OutcomeUnknownError):
                 await self.reread(job)
             return job.id not in self.book.jobs
         log.info("{job} is {status}", job=job.id, status=status)
@@ -327,6 +327,6 @@
             part, left = left[:most], left[most:]
             try:
                 await self.state.multi({}, [drop(layout.key(job, n)) for n in part], CHORE)
-            except StateDown:
+            except StateUnavailableError:
                 left = part + left
                 await sleep(self.clock, self.timing.retry)
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -14,7 +14,7 @@
 import orjson
 from twisted.logger import Logger
 
-from beamspar.cloud import CloudDown, NoCapacity
+from beamspar.cloud import CloudUnavailableError, NoCapacityError
 from beamspar.control import records
 from beamspar.control.fleet import Fleet
 from beamspar.control.messages import Ask, Directions, JobClass, Offers, Placed, Summary, View
@@ -34,7 +34,15 @@
     trim,
 )
 from beamspar.settings import Settings, Timing, Tuning
-from beamspar.state import URGENT, Conflict, NoLease, StateClient, StateDown, drop, put
+from beamspar.state import (
+    URGENT,
+    ConflictError,
+    LeaseExpiredError,
+    StateClient,
+    StateUnavailableError,
+    drop,
+    put,
+)
 from beamspar.wire import Spec
 
 log = Logger(namespace="leader")
@@ -151,7 +159,7 @@
             revision = await self.state.multi(
                 {LEADER: 0, **self.session.fence()}, [put(LEADER, value, permit)], URGENT
             )
-        except (Conflict, StateDown, NoLease) as error:
+        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info("not elected: {error}", error=error)
         else:
             self.permit, self.elected_at = permit, revision
@@ -165,10 +173,10 @@
         while not self.session.lost and self.session.leader == self.session.me:
             try:
                 await self.state.extend(permit)
-            except NoLease:
+            except LeaseExpiredError:
                 log.info("the lead has ended")
                 return
-            except StateDown as error:
+            except StateUnavailableError as error:
                 log.info("keeping the lead: {error}", error=error)
             await sleep(self.clock, self.timing.lead / 4)
 
@@ -215,7 +223,7 @@
         """
         value, version = self.session.values.get(LEADER, (None, 0))
         if value is None or value.get("name") != self.session.me:
-            raise NoLease("the lead has passed on")
+            raise LeaseExpiredError("the lead has passed on")
         revision = await self.state.multi(
             {**self.session.fence(), **conditions, LEADER: version},
             [*changes, put(LEADER, value, self.permit)],
@@ -226,14 +234,14 @@
 
     async def _lease(self) -> None:
         try:
-            await self._bury_dead()
+            await self._fail_over_dead()
             await self._lease_new()
             await self._drop_returned()
             await self._rebalance()
-            await self._adopt_strays()
-        except Conflict as error:
+            await self._move_unserved()
+        except ConflictError as error:
             log.info("leasing again: {failed}", failed=error.failed)
-        except (StateDown, NoLease) as error:
+        except (StateUnavailableError, LeaseExpiredError) as error:
             log.info("leasing waits: {error}", error=error)
         finally:
             self.leasing = False
@@ -249,7 +257,7 @@
                 counts[block.holder] += len(block.machines)
         return counts
 
-    async def _bury_dead(self) -> None:
+    async def _fail_over_dead(self) -> None:
         """A member whose grant ended is fenced out first; then its work goes on elsewhere."""
         owners = {f.owner for f in self.session.partitions.values()}
         holders = {b.holder for b in self.session.blocks.values()}
@@ -269,17 +277,17 @@
             counts = self._counts()
             if not counts:
                 return
-            heirs = sorted(counts)
+            successors = sorted(counts)
             for index, (name, partition) in enumerate(sorted(self.session.partitions.items())):
                 if partition.owner == dead:
-                    heir = heirs[index % len(heirs)]
-                    changes.append((PARTITION + name, {"owner": heir}))
+                    successor = successors[index % len(successors)]
+                    changes.append((PARTITION + name, {"owner": successor}))
             for name, block in self.session.blocks.items():
                 if block.holder == dead:
                     zone = block.machines[0].zone if block.machines else ""
-                    heir = self._pick_holder(zone, counts)
-                    counts[heir] += len(block.machines)
-                    value = block_record(heir, block.machines, self._still_live(dead, block))
+                    successor = self._pick_holder(zone, counts)
+                    counts[successor] += len(block.machines)
+                    value = block_record(successor, block.machines, self._still_live(dead, block))
                     changes.append((BLOCK + name, value))
             await self._write(changes, terms)
 
@@ -408,7 +416,7 @@
 
     def _out_of_reach(self, member: str) -> bool:
         since = self.unreached(member)
-        return since is not None and self.clock.seconds() - since > self.timing.unheard
+        return since is not None and self.clock.seconds() - since > self.timing.out_of_reach
 
     def _heard(self) -> set[str]:
         """Live members that this leader and its workers can be expected to reach."""
@@ -436,26 +444,26 @@
             if block.holder not in counts or not block.machines:
                 continue
             zone, size = block.machines[0].zone, len(block.machines)
-            heir = self._pick_holder(zone, counts)
-            home = self.sites.get(heir) == zone
-            if heir == block.holder or (home and self.sites.get(block.holder) == zone):
+            successor = self._pick_holder(zone, counts)
+            home = self.sites.get(successor) == zone
+            if successor == block.holder or (home and self.sites.get(block.holder) == zone):
                 # Within a zone, or without one of its own, only a clear imbalance counts.
-                heir = min(counts, key=lambda m: (counts[m], m))
-                if home and self.sites.get(heir) != zone:
+                successor = min(counts, key=lambda m: (counts[m], m))
+                if home and self.sites.get(successor) != zone:
                     continue
                 home = False
-            if not home and counts[block.holder] - counts[heir] < max(fair / 4, 3 * size):
+            if not home and counts[block.holder] - counts[successor] < max(fair / 4, 3 * size):
                 continue
             counts[block.holder] -= size
-            counts[heir] += size
-            log.info("moving {name} from {a} to {b}", name=name, a=block.holder, b=heir)
-            changes.append((BLOCK + name, block_record(heir, block.machines, live=True)))
+            counts[successor] += size
+            log.info("moving {name} from {a} to {b}", name=name, a=block.holder, b=successor)
+            changes.append((BLOCK + name, block_record(successor, block.machines, live=True)))
             if len(changes) >= max(self.limits.txn_ops // 4, 1):
                 break
         if changes:
             await self._write(changes)
 
-    async def _adopt_strays(self) -> None:
+    async def _move_unserved(self) -> None:
         """Machines whose holder we don't hear, or that it does not hear, go to whom they come to.
 
         A controller cut off with its zone is not dead before its grant ends, and one that
@@ -465,7 +473,7 @@
         """
         now = self.clock.seconds()
         found: dict[str, str] = {}
-        deaf = self._deaf()
+        deaf = self._cut_off_members()
         for member in sorted(self._heard()):
             for name in self.pictures[member].strays:
                 block = self.session.blocks.get(self.session.block_of.get(name, ""))
@@ -475,7 +483,7 @@
                 view, _ = holder.views.get(name, (None, 0.0)) if holder else (None, 0.0)
                 if self._out_of_reach(block.holder):
                     found.setdefault(self.session.block_of[name], member)
-                elif block.holder in deaf and view and view.silent_s > self.timing.unheard:
+                elif block.holder in deaf and view and view.silent_s > self.timing.out_of_reach:
                     # Not for one machine alone: that one may hear nobody's answers, and
                     # would go round for ever.
                     self.blind[block.holder] = now + self.timing.worker_lease * 2
@@ -490,7 +498,7 @@
 
     # -- summaries and loans
 
-    def beat(self, summary: Summary) -> Directions:
+    def heartbeat(self, summary: Summary) -> Directions:
         now = self.clock.seconds()
         picture = self.pictures.get(summary.member)
         if picture is None or picture.inc != summary.inc or summary.since == 0:
@@ -631,14 +639,14 @@
     def _lend(self, spec: Spec, room: Room, now: float) -> None:
         """Take the room off the picture until the holder's own summary shows it."""
         room.take(spec)
-        self.loans.setdefault(room.name, []).append((spec, now + self.timing.beat * 2))
+        self.loans.setdefault(room.name, []).append((spec, now + self.timing.heartbeat * 2))
 
     # -- the cloud
 
     async def _list(self) -> None:
         try:
             await self.fleet.refresh()
-        except (CloudDown, NoCapacity) as error:
+        except (CloudUnavailableError, NoCapacityError) as error:
             self.fleet.listed_at = self.clock.seconds()
             log.info("listing waits: {error}", error=error)
         finally:
@@ -684,7 +692,7 @@
             plan = self.fleet.plan(self._needs(), [r for r in self.rooms() if r.usable])
             if plan is not None:
                 await self.fleet.rent(*plan)
-        except (CloudDown, NoCapacity) as error:
+        except (CloudUnavailableError, NoCapacityError) as error:
             log.info("renting waits: {error}", error=error)
         finally:
             self.clock.callLater(self.fleet.gap, self._may_rent)
@@ -692,7 +700,7 @@
     def _may_rent(self) -> None:
         self.renting = False
 
-    def _deaf(self) -> set[str]:
+    def _cut_off_members(self) -> set[str]:
         """Members that hear few of their machines: they have lost them, not they their power."""
         held: dict[str, int] = {}
         quiet: dict[str, int] = {}
@@ -708,7 +716,7 @@
         """Return machines that are certainly of no use any more."""
         silent: dict[str, list[View]] = {}
         total: dict[str, int] = {}
-        deaf = self._deaf()
+        deaf = self._cut_off_members()
         for view in self.views():
             name = view.room.name
             total[view.room.zone] = total.get(view.room.zone, 0) + 1
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.logger import Logger
 
-from beamspar.cloud import CloudClient, CloudDown, NoCapacity
+from beamspar.cloud import CloudClient, CloudUnavailableError, NoCapacityError
 from beamspar.control import records
 from beamspar.control.api import Api
 from beamspar.control.budget import Budget
@@ -37,10 +37,10 @@
 )
 from beamspar.control.owner import Owner
 from beamspar.control.session import Machine, Session
-from beamspar.http import Answer, Call, CallFailed, Clock, Net, Sockets, sleep, spawn
+from beamspar.http import Answer, Call, CallFailedError, Clock, Net, Sockets, sleep, spawn
 from beamspar.placement import Preference, Room, slow_kinds
 from beamspar.settings import Settings, Timing, Tuning
-from beamspar.state import Conflict, NoLease, StateClient, StateDown, put
+from beamspar.state import ConflictError, LeaseExpiredError, StateClient, StateUnavailableError, put
 from beamspar.wire import BODY_LIMIT, MachineType, Spec, convert, pack, unpack
 from beamspar.workers import WorkerClient
 
@@ -89,11 +89,11 @@
         # When the state service served each sibling last, by its own word.
         self.served: dict[str, float] = {}
         # Confirmed withdrawals that a sibling has not acknowledged; kept beyond our standing.
-        self.unheard: dict[str, dict[str, int]] = {m: {} for m in self.peers}
+        self.unacknowledged: dict[str, dict[str, int]] = {m: {} for m in self.peers}
         self.spreading: set[str] = set()
-        self.pulsing = False
-        self.beating = False
-        self.beat_to, self.beat_known = "", 0
+        self.polling_siblings = False
+        self.sending_heartbeat = False
+        self.heartbeat_to, self.heartbeat_known = "", 0
         self.api = Api(self)
 
     # -- life
@@ -145,7 +145,7 @@
         holder.on_room = owner.pump
         self.session, self.holder, self.owner = session, holder, owner
         self.leader, self.budget = leader, budget
-        self.beat_known = 0
+        self.heartbeat_known = 0
         session.listeners.append(self._learn_types)
         await session.start()
         await owner.load()
@@ -170,7 +170,7 @@
                 self.types.update({t.name: t for t in types})
                 await self._store_types()
                 return
-            except (CloudDown, NoCapacity) as error:
+            except (CloudUnavailableError, NoCapacityError) as error:
                 log.info("machine types wait: {error}", error=error)
             await sleep(self.clock, self.timing.report)
 
@@ -181,7 +181,7 @@
             value = [msgspec.to_builtins(t) for t in self.types.values()]
             try:
                 await self.state.multi({TYPES: 0}, [put(TYPES, value)])
-            except (Conflict, StateDown, NoLease) as error:
+            except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
                 log.info("machine types not stored: {error}", error=error)
 
     def _learn_types(self, key: str) -> None:
@@ -195,7 +195,7 @@
         facts = self.settings.facts.state
         try:
             return await records.is_bound(self.state, facts, task, attempt, machine)
-        except (StateDown, msgspec.ValidationError) as error:
+        except (StateUnavailableError, msgspec.ValidationError) as error:
             log.info("no verdict on {task}: {error}", task=task, error=error)
             return None
 
@@ -219,27 +219,27 @@
     def refuge(self) -> str | None:
         """A sibling that the state service has served since it began to fail us alone."""
         since = self.state.failing_since
-        if since is None or self.clock.seconds() - since < self.timing.beat:
+        if since is None or self.clock.seconds() - since < self.timing.heartbeat:
             return None
         served = [m for m, at in self.served.items() if at > since]
         return min(served, key=lambda m: (-self.served[m], m)) if served else None
 
-    async def _take_pulses(self) -> None:
+    async def _poll_siblings(self) -> None:
         """Who can be reached, and does the state service fail us alone? The siblings know."""
         try:
             for member in self.peers:
                 sent = self.clock.seconds()
                 try:
-                    body = await self._send(member, "pulse", {}, self.timing.beat)
+                    body = await self._send(member, "pulse", {}, self.timing.heartbeat)
                     pulse: Pulse = decode(body, Pulse)
-                except (CallFailed, ValueError) as error:
+                except (CallFailedError, ValueError) as error:
                     log.debug("no pulse of {member}: {error}", member=member, error=error)
                     self.served.pop(member, None)
                 else:
                     self.served[member] = sent - pulse.served_s
-            await sleep(self.clock, self.timing.beat)
+            await sleep(self.clock, self.timing.heartbeat)
         finally:
-            self.pulsing = False
+            self.polling_siblings = False
 
     async def relay(self, member: str, call: Call) -> Answer | None:
         """Let a sibling answer a user whom we would have to send away."""
@@ -249,10 +249,10 @@
             message = Relay(call.method, call.path, data)
             body = await self._send(member, "relay", message, self.timing.call)
             answer: Relayed = decode(body, Relayed)
-        except (CallFailed, ValueError, TypeError) as error:
+        except (CallFailedError, ValueError, TypeError) as error:
             log.info("not relayed to {member}: {error}", member=member, error=error)
             return None
-        if answer.status == 200 and self.clock.seconds() - sent > self.timing.beat * 2:
+        if answer.status == 200 and self.clock.seconds() - sent > self.timing.heartbeat * 2:
             # Held up on its way: another may have told the user something newer.
             return None
         return Answer(answer.status, pack(answer.data), tuple(answer.headers))
@@ -275,10 +275,10 @@
             self.seen[machine.name] = machine
 
     def _tick(self) -> None:
-        self.clock.callLater(self.timing.beat * (0.9 + 0.2 * self.dice.random()), self._tick)
-        if not self.pulsing:
-            self.pulsing = True
-            spawn(self._take_pulses(), "pulses")
+        self.clock.callLater(self.timing.heartbeat * (0.9 + 0.2 * self.dice.random()), self._tick)
+        if not self.polling_siblings:
+            self.polling_siblings = True
+            spawn(self._poll_siblings(), "pulses")
         self._spread()
         try:
             session = self.session
@@ -289,7 +289,7 @@
             self.owner.tick()
             self.budget.tick()
             self.leader.tick()
-            self._beat()
+            self._heartbeat()
         except Exception:
             log.failure("tick failed")
 
@@ -301,13 +301,13 @@
     async def _deliver(self, member: str, path: str, message: Any, limit_s: float) -> bytes:
         address = self.peers.get(member)
         if address is None:
-            raise CallFailed(f"no member {member}")
+            raise CallFailedError(f"no member {member}")
         now = self.clock.seconds()
         try:
             answer: Answer = await self.net.request(
                 "POST", address, f"/peer/{path}", encode(message), limit_s
             )
-        except CallFailed as error:
+        except CallFailedError as error:
             self.failed[member] = self.clock.seconds()
             self.refused[member] = error.refused
             self.unreached.setdefault(member, now)
@@ -315,14 +315,14 @@
         self.unreached.pop(member, None)
         self.heard[member] = max(self.heard.get(member, 0.0), now)
         if answer.status != 200:
-            raise CallFailed(f"{member} answered {answer.status}")
+            raise CallFailedError(f"{member} answered {answer.status}")
         return answer.body
 
     async def tell(self, member: str, path: str, message: Any) -> bool:
         """Say it once; False when it may be lost."""
         try:
             await self._send(member, path, message, self.timing.call)
-        except CallFailed as error:
+        except CallFailedError as error:
             log.debug("{error}", error=error)
             return False
         return True
@@ -334,15 +334,15 @@
         own the job or hold its machines, and go on with both until their leases end.
         """
         if self.session is not None and not self.session.lost:
-            self.session.hear({job: revision})
-        for pending in self.unheard.values():
+            self.session.learn_cancelled({job: revision})
+        for pending in self.unacknowledged.values():
             pending[job] = revision
         self._spread()
 
     def _spread(self) -> None:
         """Tell what a sibling has not acknowledged, until the mirror shows the job's end."""
         session = self.session
-        for member, pending in self.unheard.items():
+        for member, pending in self.unacknowledged.items():
             if session is not None and session.started:
                 for job in [j for j, at in pending.items() if at <= session.revision]:
                     if job not in session.withdrawn:
@@ -352,13 +352,13 @@
                 spawn(self._spread_to(member), "telling withdrawals")
 
     async def _spread_to(self, member: str) -> None:
-        jobs = dict(self.unheard[member])
+        jobs = dict(self.unacknowledged[member])
         try:
             told = await self.tell(member, "withdrawn", Withdrawals(jobs))
         finally:
             self.spreading.discard(member)
         if told:
-            pending = self.unheard[member]
+            pending = self.unacknowledged[member]
             for job, revision in jobs.items():
                 if pending.get(job) == revision:
                     del pending[job]
@@ -398,7 +398,7 @@
         try:
             body = await self._send(holder, "sync", messages, self.timing.call)
             answer: Statuses = decode(body, Statuses)
-        except (CallFailed, ValueError) as error:
+        except (CallFailedError, ValueError) as error:
             log.debug("sync to {holder}: {error}", holder=holder, error=error)
             return None
         return answer.statuses
@@ -415,24 +415,24 @@
         if name == self.settings.member:
             return self.leader.asks(name, asks).offers if self.leader else None
         if not self.reachable(name) and (
-            self.clock.seconds() - self.failed[name] < self.timing.beat
+            self.clock.seconds() - self.failed[name] < self.timing.heartbeat
         ):
             return None
         try:
             body = await self._send(
-                name, "asks", Asks(self.settings.member, asks), self.timing.beat
+                name, "asks", Asks(self.settings.member, asks), self.timing.heartbeat
             )
             offers: Offers = decode(body, Offers)
-        except (CallFailed, ValueError) as error:
+        except (CallFailedError, ValueError) as error:
             log.info("leader {name} not asked: {error}", name=name, error=error)
             return None
         return offers.offers
 
-    def _beat(self) -> None:
+    def _heartbeat(self) -> None:
         session = self.session
         assert session and self.holder and self.owner and self.leader
         leader = session.leader
-        if leader is None or not session.valid() or self.beating:
+        if leader is None or not session.valid() or self.sending_heartbeat:
             return
         classes: dict[str, JobClass] = {}
         for job in self.owner.jobs.values():
@@ -447,10 +447,10 @@
                     job_class.zones[zone] = job_class.zones.get(zone, 0) + count
                 job_class.largest = max(job_class.largest, job.spec.tasks)
         if leader != session.me and not self.reachable(leader):
-            # A full picture a beat for a leader that is down would be a lot of nothing.
-            self.beat_known = 0
+            # A full picture with each heartbeat to a leader that is down would be wasted.
+            self.heartbeat_known = 0
             return
-        known = self.beat_known if self.beat_to == leader else 0
+        known = self.heartbeat_known if self.heartbeat_to == leader else 0
         summary = Summary(
             session.me,
             session.inc,
@@ -464,15 +464,15 @@
             self._strays(),
         )
         self.seen.clear()
-        self.beat_to, self.beat_known = leader, 0
+        self.heartbeat_to, self.heartbeat_known = leader, 0
         if leader == session.me:
-            directions = self.leader.beat(summary)
+            directions = self.leader.heartbeat(summary)
             self._follow(directions)
             if directions.taken:
-                self.beat_known = summary.count
+                self.heartbeat_known = summary.count
         else:
-            self.beating = True
-            spawn(self._beat_to(leader, summary), "heartbeat")
+            self.sending_heartbeat = True
+            spawn(self._send_heartbeat(leader, summary), "heartbeat")
 
     def _strays(self) -> list[str]:
         """Workers come round every few seconds while nobody answers them."""
@@ -494,18 +494,18 @@
             self.holder.retire(directions.retire)
             self.holder.recall(directions.caches)
 
-    async def _beat_to(self, leader: str, summary: Summary) -> None:
+    async def _send_heartbeat(self, leader: str, summary: Summary) -> None:
         """One heartbeat at a time, so that each builds on one that was taken in."""
         try:
             body = await self._send(leader, "beat", summary, self.timing.call)
             directions: Directions = decode(body, Directions)
             self._follow(directions)
-            if directions.taken and self.beat_to == leader:
-                self.beat_known = summary.count
-        except (CallFailed, ValueError) as error:
+            if directions.taken and self.heartbeat_to == leader:
+                self.heartbeat_known = summary.count
+        except (CallFailedError, ValueError) as error:
             log.debug("heartbeat: {error}", error=error)
         finally:
-            self.beating = False
+            self.sending_heartbeat = False
 
     # -- messages from members
 
@@ -541,10 +541,10 @@
             asks: Asks = decode(body, Asks)
             return encode(self.leader.asks(asks.member, asks.asks))
         if name == "beat":
-            directions: Directions = self.leader.beat(decode(body, Summary))
+            directions: Directions = self.leader.heartbeat(decode(body, Summary))
             return encode(directions)
         if name == "withdrawn":
             withdrawals: Withdrawals = decode(body, Withdrawals)
-            self.session.hear(withdrawals.jobs)
+            self.session.learn_cancelled(withdrawals.jobs)
             return b"{}"
         raise KeyError(name)
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -41,11 +41,11 @@
     ACCEPT,
     CHORE,
     PLACE,
-    Conflict,
-    InDoubt,
-    NoLease,
+    ConflictError,
+    LeaseExpiredError,
+    OutcomeUnknownError,
     StateClient,
-    StateDown,
+    StateUnavailableError,
     drop,
     put,
 )
@@ -151,7 +151,7 @@
                 if machine.name in self.on or machine.name in self.clears:
                     self.touch(machine.name)
         elif kind == "w":
-            self._heed(name)
+            self._apply_cancellation(name)
 
     async def load(self) -> None:
         """Read the jobs of our partitions that we don't have in memory yet."""
@@ -186,7 +186,7 @@
                 self.sync()
                 self.pump()
                 return
-            except StateDown as error:
+            except StateUnavailableError as error:
                 log.info("reading jobs waits: {error}", error=error)
                 await sleep(self.clock, self.timing.retry)
 
@@ -238,7 +238,7 @@
         self._settled(job.id)
         if self.session.is_withdrawn(job.id):
             # Stored after what we read of it.
-            self._heed(job.id)
+            self._apply_cancellation(job.id)
         return True
 
     def forget(self, job: Job, ended: bool = False) -> None:
@@ -304,11 +304,11 @@
             version = await self.state.multi(
                 conditions, [put(records.job_key(spec.id), job.record())], 1
             )
-        except (Conflict, StateDown, NoLease) as error:
+        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             for index, task in job.tasks.items():
                 if task.machine is not None:
                     self._take_off(task.machine, job, index)
-            if not isinstance(error, InDoubt):
+            if not isinstance(error, OutcomeUnknownError):
                 self._release(job)
             else:
                 # It may be stored yet, places and all: what it uses stays counted,
@@ -334,7 +334,7 @@
         )
         if self.session.is_withdrawn(job.id):
             # Another controller read what we wrote, and its answer was the faster one.
-            self._heed(job.id)
+            self._apply_cancellation(job.id)
         self.writer.flush(job)
         if job.waiting(self.clock.seconds(), 1):
             self.pump()
@@ -356,7 +356,7 @@
                     void = True
                 if await self._is_stored(job_id) or void:
                     self._settled(job_id)
-            except (Conflict, StateDown, NoLease) as error:
+            except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
                 log.info("accept of {job} stays in doubt: {error}", job=job_id, error=error)
 
     async def _is_stored(self, job_id: str) -> bool:
@@ -393,7 +393,7 @@
                     log.info("adopted {job}", job=job_id)
                     self.writer.flush(job)
                     self.pump()
-        except StateDown as error:
+        except StateUnavailableError as error:
             log.info("adopting {job} waits: {error}", job=job_id, error=error)
         finally:
             self._read()
@@ -409,7 +409,7 @@
                 if task.machine:
                     self.budget.free(job)
 
-    def _heed(self, job_id: str) -> None:
+    def _apply_cancellation(self, job_id: str) -> None:
         """A withdrawal that somebody has stored: final, so it needs no read to be heeded."""
         job = self.jobs.get(job_id)
         if job is not None and job.status == LIVE:
@@ -469,7 +469,7 @@
             self.pumping = False
             if self.again:
                 self.again = False
-                self.clock.callLater(self.timing.beat / 10, self.pump)
+                self.clock.callLater(self.timing.heartbeat / 10, self.pump)
 
     def _first(self, jobs: list[Job]) -> list[Job]:
         """Some of each shape, in order: many that find no room must not hold up the others."""
@@ -730,7 +730,7 @@
             return job
         if job.status == LIVE and self.session.is_withdrawn(job.id):
             # The holder knew of the withdrawal before we did: not to be bound once more.
-            self._heed(job.id)
+            self._apply_cancellation(job.id)
         elif job.status == LIVE:
             if job.spec.is_gang:
                 self._gang_lost(job, task, status, now)
@@ -743,7 +743,7 @@
                 wait = min(2 ** min(task.failures, 6), 30) * self.timing.retry
                 task.not_before = now + (wait if task.failures > 2 else self.timing.retry)
             elif status.state == REFUSED:
-                task.not_before = now + self.timing.beat / 2
+                task.not_before = now + self.timing.heartbeat / 2
             job.again.append(index)
         return job
 
@@ -761,7 +761,7 @@
             if len(task.avoid) > 4:
                 task.avoid.clear()
         if status.state == REFUSED:
-            task.not_before = now + self.timing.beat / 2
+            task.not_before = now + self.timing.heartbeat / 2
         else:
             task.not_before = now + gang.pause(job.id, self.timing.retry)
         self._touch_all(job)
@@ -805,7 +805,7 @@
         finally:
             self.syncing.discard(holder)
             if answers is None:
-                # Lost, or its answer was: said again with the next beat.
+                # Lost, or its answer was: said again with the next heartbeat.
                 self.due.setdefault(holder, set()).update(machines)
                 if full:
                     self.told_all.pop(holder, None)
@@ -899,7 +899,7 @@
     def tick(self) -> None:
         self.writer.tick()
         for name in (self.session.withdrawn | self.session.told.keys()) & self.jobs.keys():
-            self._heed(name)
+            self._apply_cancellation(name)
         self._drop_empty_partition()
         now = self.clock.seconds()
         self._let_go(now)
@@ -1009,7 +1009,7 @@
             conditions = {**self.session.fence(), **self.session.partition_fence(partition)}
             await self.state.multi(conditions, [drop(PARTITION + partition)], CHORE)
             log.info("partition {partition} is empty: dropped", partition=partition)
-        except (Conflict, StateDown, NoLease) as error:
+        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info(
                 "dropping partition {partition} waits: {error}", partition=partition, error=error
             )
--- a/src/beamspar/control/records.py
+++ b/src/beamspar/control/records.py
@@ -145,7 +145,7 @@
     if not index_text.isdigit():
         return False
     index = int(index_text)
-    # After a death there are hundreds to ask about, until an heir has read its jobs: ahead
+    # After a death there are hundreds to ask about, until a successor has read its jobs: ahead
     # of that reading, they would keep it waiting for ever.
     item = await state.get(job_key(job), CHORE)
     if item is None:
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -17,12 +17,12 @@
 from beamspar.settings import Settings, Timing
 from beamspar.state import (
     URGENT,
-    Compacted,
-    Conflict,
-    InDoubt,
-    NoLease,
+    CompactedError,
+    ConflictError,
+    LeaseExpiredError,
+    OutcomeUnknownError,
     StateClient,
-    StateDown,
+    StateUnavailableError,
     drop,
     put,
 )
@@ -168,7 +168,7 @@
     def is_withdrawn(self, job: str) -> bool:
         return job in self.withdrawn or job in self.told
 
-    def hear(self, jobs: dict[str, int]) -> None:
+    def learn_cancelled(self, jobs: dict[str, int]) -> None:
         """Withdrawals that a sibling has stored, though the state service may fail us.
 
         A stored withdrawal is final, so it is heeded without a read. Our mirror tells all
@@ -196,7 +196,7 @@
         block = self.blocks.get(self.block_of.get(machine, ""))
         return (block.holder, block.number) if block else None
 
-    def _lose(self, why: str) -> None:
+    def _lose_standing(self, why: str) -> None:
         if not self.lost:
             self.lost = True
             log.warn("standing lost: {why}", why=why)
@@ -210,9 +210,9 @@
             try:
                 if await self._register():
                     break
-            except (StateDown, NoLease) as error:
+            except (StateUnavailableError, LeaseExpiredError) as error:
                 log.info("registering waits: {error}", error=error)
-            except Conflict as error:
+            except ConflictError as error:
                 log.info("registering again: {failed}", failed=error.failed)
             await sleep(self.clock, self.timing.retry)
         self.started = True
@@ -240,7 +240,7 @@
             changes.append(drop(LEADER))
         try:
             revision = await self.state.multi(conditions, changes, URGENT)
-        except InDoubt:
+        except OutcomeUnknownError:
             # It may have been applied: the next round reads what stands and fences it.
             return False
         self.inc, self.permit, self.fence_version, self.partition = inc, permit, revision, partition
@@ -300,7 +300,7 @@
                     self.ended.pop(name, None)
             elif kind == "fence":
                 if name == self.me and self.started and version != self.fence_version:
-                    self._lose("fenced by another")
+                    self._lose_standing("fenced by another")
                 self._renumber(name)
         except (msgspec.ValidationError, KeyError, TypeError) as error:
             log.error("odd control record {key}: {error}", key=key, error=error)
@@ -359,10 +359,10 @@
             try:
                 await self.state.extend(self.permit)
                 self.renewed_at = sent
-            except NoLease:
-                self._lose("the grant has ended")
+            except LeaseExpiredError:
+                self._lose_standing("the grant has ended")
                 return
-            except StateDown as error:
+            except StateUnavailableError as error:
                 pause = self.timing.retry
                 log.info("renewal failed: {error}", error=error)
             await sleep(self.clock, pause)
@@ -381,11 +381,11 @@
                         self._apply(event.drop, None, event.version)
                 self._caught_up(revision)
                 self.watched_at = sent
-            except Compacted:
+            except CompactedError:
                 try:
                     await self._load()
-                except StateDown:
+                except StateUnavailableError:
                     await sleep(self.clock, self.timing.retry)
-            except StateDown as error:
+            except StateUnavailableError as error:
                 log.info("watch failed: {error}", error=error)
                 await sleep(self.clock, self.timing.retry)
--- a/src/beamspar/http.py
+++ b/src/beamspar/http.py
@@ -22,7 +22,7 @@
 log = Logger(namespace="http")
 
 
-class CallFailed(Exception):
+class CallFailedError(Exception):
     """No usable answer: refused, reset or out of time. The call may yet take effect."""
 
     def __init__(self, text: str, refused: bool = False) -> None:
@@ -101,7 +101,7 @@
     def request(
         self, method: str, address: str, path: str, body: bytes | None, limit_s: float
     ) -> Deferred[Answer]:
-        """Answer, or CallFailed within limit_s."""
+        """Answer, or CallFailedError within limit_s."""
 
     def listen(self, address: str, handler: Handler, most: int, limit: int) -> Deferred[Any]:
         """Serve on address, at most so many open connections and bytes in a body."""
@@ -336,7 +336,7 @@
         def failed(failure: Any) -> Any:
             name = failure.type.__name__
             refused = failure.check(ConnectionRefusedError) is not None
-            raise CallFailed(f"{method} {address}{path}: {name}", refused)
+            raise CallFailedError(f"{method} {address}{path}: {name}", refused)
 
         done.addErrback(failed)
         return done
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -157,13 +157,13 @@
         self.hold = w.report_s * 0.67
         # How old the mirror may be to begin something by it: a watch and its answer.
         self.current = w.report_s * 1.67
-        self.beat = w.report_s / 6
+        self.heartbeat = w.report_s / 6
         # How long polls are gathered for one comparison with the state service: a call for
         # every other poll took more of processor and rate than all else.
-        self.gather = self.beat / 4
+        self.gather = self.heartbeat / 4
         # How long a task that no owner speaks for may stay so; and how often an owner
         # repeats all that it wants, though nothing seems to have been lost.
-        self.stranger = w.report_s * 1.5
+        self.unknown_task = w.report_s * 1.5
         self.repair = w.lease_s
         self.retry = w.report_s / 6
         self.call = w.report_s / 2
@@ -177,7 +177,7 @@
         # holder counts as out of reach after the other: early enough for another to answer
         # within the worker's lease, though the worker may be waiting for an answer first.
         self.stray = w.report_s * 3
-        self.unheard = w.lease_s * 0.4
+        self.out_of_reach = w.lease_s * 0.4
         # How long a class's largest job is a measure for the room to keep.
         self.remember = w.lease_s * 12
         # How long a machine is idle before it may go back.
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -9,32 +9,32 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from beamspar.http import Answer, CallFailed, Clock, Net, sleep
+from beamspar.http import Answer, CallFailedError, Clock, Net, sleep
 from beamspar.settings import Settings, Timing
 from beamspar.wire import pack, unpack
 
 
-class StateDown(Exception):
+class StateUnavailableError(Exception):
     """Not executed, or a read without an answer: ask again later."""
 
 
-class InDoubt(StateDown):
+class OutcomeUnknownError(StateUnavailableError):
     """No answer to a change: it may have been executed, or may be later."""
 
 
-class NoLease(Exception):
+class LeaseExpiredError(Exception):
     """The grant has ended."""
 
 
-class Rejected(StateDown):
+class TooLargeError(StateUnavailableError):
     """Not executed, for a value or the transaction is larger than the service takes."""
 
 
-class Compacted(Exception):
+class CompactedError(Exception):
     """The watch asked for changes that are no longer kept."""
 
 
-class Conflict(Exception):
+class ConflictError(Exception):
     """A condition did not hold; `failed` names the keys."""
 
     def __init__(self, failed: list[str]) -> None:
@@ -55,7 +55,7 @@
     value: Any = msgspec.field(name="data", default=None)
 
 
-class Crowded(StateDown):
+class RateLimitedError(StateUnavailableError):
     """Above the rate that all nodes share: not executed."""
 
 
@@ -174,23 +174,29 @@
         raw = pack(body) if body is not None else None
         try:
             answer: Answer = await self.net.request(method, self.address, path, raw, limit_s)
-        except CallFailed as error:
+        except CallFailedError as error:
             self._note(False)
-            raise (InDoubt if changing else StateDown)(str(error)) from error
+            raise (OutcomeUnknownError if changing else StateUnavailableError)(
+                str(error)
+            ) from error
         if answer.status in (429, 503):
             self._note(answer.status == 429)
             if answer.status == 429:
                 if not changing:
                     self.requests.refused()
-                raise Crowded(f"{method} {path}: 429")
-            raise StateDown(f"{method} {path}: {answer.status}")
+                raise RateLimitedError(f"{method} {path}: 429")
+            raise StateUnavailableError(f"{method} {path}: {answer.status}")
         if answer.status >= 500:
             self._note(False)
-            raise (InDoubt if changing else StateDown)(f"{method} {path}: {answer.status}")
+            raise (OutcomeUnknownError if changing else StateUnavailableError)(
+                f"{method} {path}: {answer.status}"
+            )
         try:
             data = unpack(answer.body) if answer.body else {}
         except msgspec.DecodeError as error:
-            raise (InDoubt if changing else StateDown)(f"{path}: odd reply") from error
+            raise (OutcomeUnknownError if changing else StateUnavailableError)(
+                f"{path}: odd reply"
+            ) from error
         self._note(True)
         return answer.status, data if isinstance(data, dict) else {}
 
@@ -204,11 +210,11 @@
 
     def _convert(self, data: Any, kind: Any, status: int) -> Any:
         if status != 200:
-            raise StateDown(f"odd status {status}")
+            raise StateUnavailableError(f"odd status {status}")
         try:
             return msgspec.convert(data, kind)
         except msgspec.ValidationError as error:
-            raise StateDown(f"odd reply: {error}") from error
+            raise StateUnavailableError(f"odd reply: {error}") from error
 
     async def scan(self, prefix: str, priority: int = ACCEPT) -> tuple[list[Item], int]:
         """All keys below the prefix, and a revision the first page is at least as new as."""
@@ -224,7 +230,7 @@
             rows = self._convert(data.get("rows", []), list[Item], status)
             revision = data.get("ledger_rev")
             if not isinstance(revision, int):
-                raise StateDown("odd reply: no ledger_rev")
+                raise StateUnavailableError("odd reply: no ledger_rev")
             first = first or revision
             items.extend(rows)
             if not data.get("truncated") or not rows:
@@ -238,7 +244,11 @@
         priority: int = PLACE,
         weight: float = 0.0,
     ) -> int:
-        """One transaction; the new revision. Conflict, InDoubt, NoLease or StateDown."""
+        """One transaction; returns the new revision.
+
+        Raises ConflictError, OutcomeUnknownError, LeaseExpiredError, TooLargeError or
+        StateUnavailableError.
+        """
         body: dict[str, Any] = {
             "if": [{"key": key, "entry_rev": version} for key, version in conditions.items()]
         }
@@ -249,7 +259,7 @@
             try:
                 status, data = await self._call("POST", "/multi", body, self.limit_s, bool(changes))
                 break
-            except Crowded:
+            except RateLimitedError:
                 # It was not executed, so it goes back into the queue. What is urgent does
                 # not wait there: at once, it would be refused again until it gives up.
                 self.changes.refused()
@@ -259,14 +269,14 @@
                     await sleep(self.clock, (len(changes) + 1) / self.smallest.write_rps)
         if status == 409:
             failed = data.get("failed")
-            raise Conflict([k for k in failed if isinstance(k, str)] if failed else [])
+            raise ConflictError([k for k in failed if isinstance(k, str)] if failed else [])
         if status == 400:
             if data.get("error") == NO_LEASE:
-                raise NoLease(NO_LEASE)
-            raise Rejected(f"a transaction of {len(changes)} changes: {data.get('error')}")
+                raise LeaseExpiredError(NO_LEASE)
+            raise TooLargeError(f"a transaction of {len(changes)} changes: {data.get('error')}")
         revision = data.get("ledger_rev")
         if status != 200 or not isinstance(revision, int):
-            raise InDoubt(f"odd reply to a transaction: {status}")
+            raise OutcomeUnknownError(f"odd reply to a transaction: {status}")
         return revision
 
     async def grant(self, life_s: float) -> int:
@@ -275,7 +285,7 @@
         status, data = await self._call("POST", "/grants", body, self.limit_s, True)
         permit = data.get("permit")
         if status != 200 or not isinstance(permit, int):
-            raise StateDown(f"odd reply to a grant: {status}")
+            raise StateUnavailableError(f"odd reply to a grant: {status}")
         return permit
 
     async def extend(self, permit: int) -> None:
@@ -283,9 +293,9 @@
         path = f"/grants/{permit}/extend"
         status, _ = await self._call("POST", path, {}, self.limit_s, True)
         if status == 404:
-            raise NoLease(f"grant {permit}")
+            raise LeaseExpiredError(f"grant {permit}")
         if status != 200:
-            raise StateDown(f"odd reply to an extension: {status}")
+            raise StateUnavailableError(f"odd reply to an extension: {status}")
 
     async def watch(self, prefix: str, since: int, hold_s: float) -> tuple[list[Event], int]:
         """Changes below the prefix after a revision; empty when the time runs out."""
@@ -293,11 +303,11 @@
         path = f"/watch?under={quote(prefix, safe='/')}&since={since}&hold_ms={int(hold_s * 1000)}"
         status, data = await self._call("GET", path, None, hold_s + self.limit_s * 2, False)
         if status == 410:
-            raise Compacted
+            raise CompactedError
         events = self._convert(data.get("events") or [], list[Event], status)
         revision = data.get("ledger_rev")
         if not isinstance(revision, int):
-            raise StateDown("odd reply: no ledger_rev")
+            raise StateUnavailableError("odd reply: no ledger_rev")
         return events, revision
 
 
--- a/src/beamspar/wire.py
+++ b/src/beamspar/wire.py
@@ -24,7 +24,7 @@
     return msgspec.msgpack.decode(body)
 
 
-class BadInput(Exception):
+class InvalidInputError(Exception):
     """What arrived is malformed; the text says which field."""
 
 
@@ -92,24 +92,24 @@
 
 
 def parse_spec(data: Any) -> Spec:
-    """Check a submission; BadInput names the field that is wrong."""
+    """Check a submission; InvalidInputError names the field that is wrong."""
     if not isinstance(data, dict):
-        raise BadInput("body is not a map")
+        raise InvalidInputError("body is not a map")
     for name in _REQUIRED:
         if data.get(name) is None:
-            raise BadInput(f"{name} is missing")
+            raise InvalidInputError(f"{name} is missing")
     try:
         spec = msgspec.convert(data, Spec)
     except msgspec.ValidationError as error:
-        raise BadInput(str(error)) from error
+        raise InvalidInputError(str(error)) from error
     if not JOB_ID.match(spec.id):
-        raise BadInput("id is not of the form j-...")
+        raise InvalidInputError("id is not of the form j-...")
     if spec.shape not in ("sweep", "standing", "ensemble"):
-        raise BadInput("shape is none of sweep, standing and ensemble")
+        raise InvalidInputError("shape is none of sweep, standing and ensemble")
     if spec.priority not in PRIORITIES:
-        raise BadInput("urgency is unknown")
+        raise InvalidInputError("urgency is unknown")
     if not 1 <= spec.tasks <= MAX_TASKS:
-        raise BadInput(f"parcels is not within 1 and {MAX_TASKS}")
+        raise InvalidInputError(f"parcels is not within 1 and {MAX_TASKS}")
     amounts = {
         "cpus": spec.cpus,
         "accelerators": spec.gpus,
@@ -122,12 +122,12 @@
     }
     for name, amount in amounts.items():
         if not math.isfinite(amount) or amount < 0:
-            raise BadInput(f"{name} is not an amount")
+            raise InvalidInputError(f"{name} is not an amount")
     for name, text in (("lane", spec.job_class), ("owner", spec.team), ("crate", spec.image)):
         if not text or len(text) > 200:
-            raise BadInput(f"{name} is empty or too long")
+            raise InvalidInputError(f"{name} is empty or too long")
     if spec.kinds is not None and len(spec.kinds) > 64:
-        raise BadInput("rig_kinds is too long")
+        raise InvalidInputError("rig_kinds is too long")
     return spec
 
 
@@ -161,9 +161,9 @@
     try:
         report = _report.decode(body)
     except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        raise BadInput(str(error)) from error
+        raise InvalidInputError(str(error)) from error
     if report.session < 1 or report.seq < 0 or report.token < 0:
-        raise BadInput("shift, tally or baton is out of range")
+        raise InvalidInputError("shift, tally or baton is out of range")
     return report
 
 
@@ -223,4 +223,4 @@
     try:
         return msgspec.convert(data, kind)
     except msgspec.ValidationError as error:
-        raise BadInput(str(error)) from error
+        raise InvalidInputError(str(error)) from error
--- a/src/beamspar/workers.py
+++ b/src/beamspar/workers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from beamspar.http import CallFailed, Net
-from beamspar.wire import BadInput, Report, orders, parse_report
+from beamspar.http import CallFailedError, Net
+from beamspar.wire import InvalidInputError, Report, orders, parse_report
 
 
 class WorkerClient:
@@ -18,14 +18,14 @@
     ) -> tuple[bool, Report]:
         """Whether the orders were executed, and the report after them.
 
-        CallFailed means doubt: the orders may be executed minutes later, while
+        CallFailedError means doubt: the orders may be executed minutes later, while
         number and session still match.
         """
         body = orders(token, session, commands)
         answer = await self.net.request("POST", address, "/orders", body, self.limit_s)
         if answer.status not in (200, 409):
-            raise CallFailed(f"worker {address} answered {answer.status}")
+            raise CallFailedError(f"worker {address} answered {answer.status}")
         try:
             return answer.status == 200, parse_report(answer.body)
-        except BadInput as error:
-            raise CallFailed(f"worker {address}: odd report: {error}") from error
+        except InvalidInputError as error:
+            raise CallFailedError(f"worker {address}: odd report: {error}") from error
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from beamspar.http import Answer, Call, CallFailed, Gates, Handler, lasting
+from beamspar.http import Answer, Call, CallFailedError, Gates, Handler, lasting
 from tests.standins.clock import SimClock
 
 
@@ -135,7 +135,7 @@
             if timer.active():
                 timer.cancel()
             if answer is None:
-                result.errback(CallFailed(f"{method} {address}{path}"))
+                result.errback(CallFailedError(f"{method} {address}{path}"))
             else:
                 result.callback(answer)
 
@@ -184,7 +184,7 @@
         network: Network,
         host: str,
         gates: Gates,
-        failure: type[Exception] = CallFailed,
+        failure: type[Exception] = CallFailedError,
     ) -> None:
         self.network = network
         # What a failed call raises in the release that this process runs.
@@ -202,7 +202,7 @@
         async def call() -> Answer:
             try:
                 return await self.network.request(self.host, method, address, path, body, limit_s)
-            except CallFailed as error:
+            except CallFailedError as error:
                 raise self.failure(str(error), error.refused) from error
 
         return ensureDeferred(self.gates.through(path, call))
--- a/tests/standins/releases.py
+++ b/tests/standins/releases.py
@@ -35,6 +35,13 @@
     def module(self, name: str) -> Any:
         return self.modules[f"{PACKAGE}.{name}"]
 
+    @property
+    def call_failed(self) -> type[Exception]:
+        """What a call without a usable answer raises; the first release names it otherwise."""
+        http = self.module("http")
+        found: type[Exception] = getattr(http, "CallFailedError", None) or http.CallFailed
+        return found
+
     def node(self, clock: Any, net: Any, facts: dict[str, Any], tuning: Any, dice: Any) -> Any:
         """A controller; settings that it does not know are ignored, as from the file."""
         settings_module = self.module("settings")
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -8,7 +8,7 @@
 import msgspec
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from beamspar.http import CallFailed, Gates, Sockets
+from beamspar.http import CallFailedError, Gates, Sockets
 from beamspar.settings import Settings, Tuning
 from beamspar.wire import pack, unpack
 from tests.standins import releases
@@ -293,7 +293,7 @@
         facts = self.settings[name].facts
         gates = Gates(Sockets.of(facts.limits.sockets, facts.nodes))
         release = releases.production() if name in self.old else releases.present()
-        net = HostNet(self.network, name, gates, release.module("http").CallFailed)
+        net = HostNet(self.network, name, gates, release.call_failed)
         drift = 0.0005 * (2 * self.names.index(name) / max(len(self.names) - 1, 1) - 1)
         clock = HostClock(self.network, name, drift)
         dice = random.Random(self.dice.random())
@@ -330,7 +330,7 @@
         done = self.network.request("users", method, self.addresses[node], path, raw, 5.0)
         done.addCallbacks(
             lambda a: (a.status, unpack(a.body) if a.body else {}),
-            lambda f: (f.trap(CallFailed), (0, {}))[1],
+            lambda f: (f.trap(CallFailedError), (0, {}))[1],
         )
         return done
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -19,7 +19,7 @@
     Tuning,
     WorkerFacts,
 )
-from beamspar.state import Conflict, InDoubt
+from beamspar.state import ConflictError, OutcomeUnknownError
 from beamspar.wire import Spec
 from tests.standins.clock import SimClock
 
@@ -69,7 +69,9 @@
 def test_what_a_write_in_doubt_gave_back_is_not_used_again() -> None:
     # Version 5 leaves us 10. Another wants some, so we give back down to 2, without an answer;
     # then we want more again, and that write fails for the first was carried out.
-    budget, session, script = make(InDoubt("lost"), Conflict([KEY]), InDoubt("lost"))
+    budget, session, script = make(
+        OutcomeUnknownError("lost"), ConflictError([KEY]), OutcomeUnknownError("lost")
+    )
     session.learn(KEY, {"rig-0.1": [10.0, 0.0], "rig-1.1": [0.0, 0.0, 3, 4.0, 0.0]}, 5)
     held = job(2.0)
     budget.restore_one(held, 1)
@@ -89,7 +91,7 @@
 
 
 def test_a_share_in_doubt_is_settled_by_another_write() -> None:
-    budget, session, script = make(InDoubt("lost"), 9)
+    budget, session, script = make(OutcomeUnknownError("lost"), 9)
     session.learn(KEY, {"rig-0.1": [6.0, 0.0], "rig-1.1": [0.0, 0.0, 3, 4.0, 0.0]}, 5)
     budget.restore_one(job(6.0), 1)
     budget.restore_one(job(4.0), -1)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -64,7 +64,7 @@
 def test_a_withdrawal_stored_after_the_read_is_heeded_as_the_job_is_kept() -> None:
     owner, slow = make()
     ensureDeferred(owner.load())
-    owner.session.hear({"j-1": 20})
+    owner.session.learn_cancelled({"j-1": 20})
     slow.waiting[0].callback(None)
     assert owner.jobs["j-1"].status == "withdrawn"
     assert not owner.jobs["j-1"].waiting(0.0, 1)
