--- /dev/null
+++ b/src/beamspar/control/limit_yield.py
@@ -0,0 +1,71 @@
+"""Which lower work of a team stops when higher work of it waits at the team's limit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+from typing import Any, NamedTuple
+
+from beamspar.control.job import Job, Task
+from beamspar.control.records import LIVE
+from beamspar.placement import EPS
+
+
+class Unit(NamedTuple):
+    """Tasks of a job that are stopped together, and what that frees."""
+
+    # The lowest goes first.
+    order: tuple[Any, ...]
+    rank: int
+    cpus: float
+    gpus: float
+    job: Job
+    tasks: list[tuple[int, Task]]
+
+
+def choose(
+    jobs: Iterable[Job],
+    spot: Collection[str],
+    lacking: Callable[[int], tuple[float, float]],
+) -> list[Unit]:
+    """The units to stop: as many as free what is lacking for work above their rank.
+
+    The lowest rank goes first, then what is on ordinary machines, where higher work can take
+    its place, what saves, and the newest.
+    """
+    units = [
+        unit for job in jobs if job.status == LIVE and job.spec.rank for unit in units_of(job, spot)
+    ]
+    wanted = {rank: lacking(rank) for rank in {unit.rank for unit in units}}
+    chosen: list[Unit] = []
+    cpus = gpus = 0.0
+    for unit in sorted(units, key=lambda unit: unit.order):
+        cpus_wanted, gpus_wanted = wanted[unit.rank]
+        if cpus + EPS >= cpus_wanted and gpus + EPS >= gpus_wanted:
+            break
+        cpus, gpus = cpus + unit.cpus, gpus + unit.gpus
+        chosen.append(unit)
+    return chosen
+
+
+def units_of(job: Job, spot: Collection[str]) -> list[Unit]:
+    """What may be stopped of a job at a time: a task, or a gang as a whole."""
+    tasks = [
+        (index, task)
+        for index, task in job.tasks.items()
+        if task.machine is not None and task.stored
+    ]
+    groups = [tasks] if job.spec.is_gang and tasks else [[entry] for entry in tasks]
+    return [_unit(job, group, spot) for group in groups]
+
+
+def _unit(job: Job, tasks: list[tuple[int, Task]], spot: Collection[str]) -> Unit:
+    spec = job.spec
+    order = (
+        -spec.rank,
+        all(task.machine in spot for _, task in tasks),
+        not spec.checkpoint_s,
+        -job.since,
+        job.id,
+        tasks[0][0],
+    )
+    return Unit(order, spec.rank, spec.cpus * len(tasks), spec.gpus * len(tasks), job, tasks)
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -6,17 +6,19 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
-from beamspar.control import records
+from beamspar.control import limit_yield, records
 from beamspar.control.gang import Phase
 from beamspar.control.job import Job, Task
 from beamspar.control.job_writer import JobWriter
+from beamspar.control.limit_yield import Unit
 from beamspar.control.messages import (
     CLEAR,
     ENDED,
@@ -59,18 +61,6 @@
 LOOKS = 3
 
 
-class Unit(NamedTuple):
-    """Tasks of a job that are stopped together, and what that frees."""
-
-    # The lowest goes first.
-    order: tuple[Any, ...]
-    rank: int
-    cpus: float
-    gpus: float
-    job: Job
-    tasks: list[tuple[int, Task]]
-
-
 class Owner:
     """Owns the jobs of this controller's partitions."""
 
@@ -926,55 +916,16 @@
         """Higher work waits at its team's limit: lower work of the team makes room there.
 
         Without this a large array that came first kept a team's critical services waiting
-        until it was done. The lowest goes first, then what is on ordinary machines, where
-        higher work can take its place, what saves, and the newest.
+        until it was done.
         """
         for team in sorted(self.budget.teams):
             if not any(self.budget.yields(team, len(PRIORITIES))):
                 continue
-            lower = [
-                unit
-                for job in self.jobs.values()
-                if job.spec.team == team and job.status == LIVE and job.spec.rank
-                for unit in self._units(job)
-            ]
-            lacking = {unit.rank: self.budget.yields(team, unit.rank) for unit in lower}
-            freed = [0.0, 0.0]
-            for unit in sorted(lower, key=lambda unit: unit.order):
-                wanted = lacking[unit.rank]
-                if all(have + 1e-6 >= want for have, want in zip(freed, wanted, strict=True)):
-                    break
-                freed = [freed[0] + unit.cpus, freed[1] + unit.gpus]
+            jobs = [job for job in self.jobs.values() if job.spec.team == team]
+            lacking = functools.partial(self.budget.yields, team)
+            for unit in limit_yield.choose(jobs, self.spot, lacking):
                 self._stop_unit(unit, team)
 
-    def _units(self, job: Job) -> list[Unit]:
-        """What may be stopped of a job at a time: a task, or a gang as a whole."""
-        spec = job.spec
-        tasks = [
-            (index, task)
-            for index, task in job.tasks.items()
-            if task.machine is not None and task.stored
-        ]
-        groups = [tasks] if spec.is_gang and tasks else [[entry] for entry in tasks]
-        return [
-            Unit(
-                (
-                    -spec.rank,
-                    all(task.machine in self.spot for _, task in group),
-                    not spec.checkpoint_s,
-                    -job.since,
-                    job.id,
-                    group[0][0],
-                ),
-                spec.rank,
-                spec.cpus * len(group),
-                spec.gpus * len(group),
-                job,
-                group,
-            )
-            for group in groups
-        ]
-
     def _stop_unit(self, unit: Unit, team: str) -> None:
         for index, task in unit.tasks:
             if not task.yields and task.machine is not None:
--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,81 @@
+"""How the leader writes blocks whose records are larger than the announced limit."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+import orjson
+from twisted.internet.defer import ensureDeferred
+
+from beamspar.control.leader import Leader
+from beamspar.control.session import LEADER, Machine, Session, block_record
+from beamspar.settings import NextLimits, Timing, Tuning
+from tests.standins.clock import SimClock
+from tests.test_budget import settings
+
+KEY = "c/block/host-0"
+
+
+class Recorder:
+    """Takes every transaction and keeps it."""
+
+    def __init__(self) -> None:
+        self.revision = 10
+        self.written: list[tuple[dict[str, int], list[dict[str, Any]]]] = []
+
+    async def multi(self, conditions: Any, changes: Any, *rest: Any) -> int:
+        self.written.append((conditions, changes))
+        self.revision += 1
+        return self.revision
+
+
+def make(next_limits: NextLimits) -> tuple[Leader, Recorder]:
+    base = settings()
+    state = msgspec.structs.replace(base.facts.state, next=next_limits)
+    own = msgspec.structs.replace(base, facts=msgspec.structs.replace(base.facts, state=state))
+    timing, clock, recorder = Timing(own, Tuning()), SimClock(), Recorder()
+    unused: Any = None
+    store: Any = recorder
+    session = Session(clock, store, own, timing)
+    session.learn(LEADER, {"name": "rig-0", "inc": 0}, 5)
+    dice = random.Random(1)
+    leader = Leader(clock, session, store, unused, own, timing, Tuning(), dice)
+    return leader, recorder
+
+
+def machines(count: int) -> list[Machine]:
+    return [Machine(f"host-{n}", f"10.0.0.{n}:9000", "big", "east") for n in range(count)]
+
+
+def test_a_block_that_outgrew_the_limit_is_split_in_one_write() -> None:
+    leader, recorder = make(NextLimits(value_kb=1.0))
+    leader.session.learn(KEY, block_record("rig-1", machines(20)), 7)
+    moved = block_record("rig-0", machines(20), live=True)
+    ensureDeferred(leader._write([(KEY, moved)]))
+    ((conditions, changes),) = recorder.written
+    blocks = {c["put"]: c["data"] for c in changes if c["put"].startswith("c/block/")}
+    assert len(blocks) > 1 and conditions[KEY] == 7
+    assert all(len(orjson.dumps(value)) <= 1024 for value in blocks.values())
+    assert all(value["holder"] == "rig-0" and value["live"] for value in blocks.values())
+    names = [machine["name"] for value in blocks.values() for machine in value["machines"]]
+    assert sorted(names) == sorted(machine.name for machine in machines(20))
+
+
+def test_parts_of_one_block_are_never_in_two_writes() -> None:
+    leader, recorder = make(NextLimits(value_kb=1.0, txn_ops=6))
+    changes = []
+    for n in range(4):
+        part = [msgspec.structs.replace(m, name=f"{m.name}-{n}") for m in machines(14)]
+        changes.append((f"c/block/{part[0].name}", block_record("rig-0", part)))
+    ensureDeferred(leader._write(changes))
+    for _, written in recorder.written:
+        assert len(written) <= 6
+    for key, value in changes:
+        wanted = {machine["name"] for machine in value["machines"]}
+        holding = [
+            {m["name"] for c in written if c["put"] != LEADER for m in c["data"]["machines"]}
+            for _, written in recorder.written
+        ]
+        assert sum(1 for there in holding if there & wanted) == 1, key
