--- /dev/null
+++ b/tests/test_gang.py
@@ -0,0 +1,131 @@
+"""What a gang's attempt needs, phase by phase."""
+
+from __future__ import annotations
+
+from beamspar.control import limit_yield
+from beamspar.control.gang import LONGEST_PAUSE, Gang, Phase
+from beamspar.control.job import Job
+from beamspar.control.records import Layout
+from beamspar.wire import Spec
+
+WAIT = 40.0
+SPEC = Spec(
+    "j-1", "merge", "red", "ensemble", "normal", 4, 2.0, 0.0, 1.0, "img", 1.0, checkpoint_s=5.0
+)
+
+
+def bound() -> Gang:
+    gang = Gang()
+    gang.begin()
+    return gang
+
+
+def phase(gang: Gang, left: int, now: float = 0.0) -> Phase:
+    return gang.phase(4, left, now, WAIT)
+
+
+def test_with_none_bound_it_waits_to_be_placed_whole() -> None:
+    assert phase(Gang(), 0) is Phase.WAITING
+    assert phase(bound(), 4) is Phase.WHOLE
+
+
+def test_a_task_lost_before_the_start_is_replaced_elsewhere() -> None:
+    gang = bound()
+    gang.saw("gathering")
+    gang.lose("host-1", 5.0, may_replace=True)
+    assert phase(gang, 3, 5.0) is Phase.INCOMPLETE
+    assert gang.left == {"host-1"}
+
+
+def test_a_replacement_is_not_looked_for_for_ever() -> None:
+    gang = bound()
+    gang.lose("host-1", 5.0, may_replace=True)
+    assert phase(gang, 3, 14.0) is Phase.INCOMPLETE
+    assert phase(gang, 3, 16.0) is Phase.STOPPING
+    # Completed in time, the next loss has its own.
+    gang.completed()
+    gang.lose("host-2", 30.0, may_replace=True)
+    assert phase(gang, 3, 31.0) is Phase.INCOMPLETE
+
+
+def test_a_task_lost_after_the_start_stops_all() -> None:
+    gang = bound()
+    gang.saw("running")
+    gang.lose("host-1", 5.0, may_replace=True)
+    assert phase(gang, 3, 5.0) is Phase.STOPPING
+    assert phase(gang, 0, 5.0) is Phase.WAITING
+
+
+def test_peers_that_are_gone_stop_all_though_no_start_was_seen() -> None:
+    gang = bound()
+    gang.saw("gathering")
+    gang.lose("host-1", 5.0, may_replace=False)
+    assert phase(gang, 3, 5.0) is Phase.STOPPING
+
+
+def test_one_that_saves_stops_all() -> None:
+    gang = bound()
+    gang.saw("running")
+    assert phase(gang, 4) is Phase.WHOLE
+    gang.saw("saving")
+    assert phase(gang, 4) is Phase.STOPPING
+    gang.begin()
+    assert phase(gang, 4) is Phase.WHOLE
+
+
+def test_restored_with_a_loss_it_waits_until_its_state_is_told() -> None:
+    gang = Gang()
+    assert phase(gang, 3) is Phase.UNKNOWN
+    gang.saw("gathering")
+    assert phase(gang, 3) is Phase.INCOMPLETE
+    gang.saw("running")
+    assert phase(gang, 3) is Phase.STOPPING
+
+
+def test_pauses_grow_and_differ_between_jobs() -> None:
+    gang = bound()
+    assert gang.pause("j-1", 0.5) == 0.5
+    pauses = []
+    for _ in range(8):
+        gang.failures += 1
+        pauses.append(gang.pause("j-1", 0.5))
+    assert pauses == sorted(pauses) and pauses[0] > 0.5
+    assert pauses[-1] <= 0.5 * LONGEST_PAUSE * 1.5
+    assert gang.pause("j-1", 0.5) != gang.pause("j-2", 0.5)
+    gang.saw("running")
+    assert gang.pause("j-1", 0.5) == 0.5
+
+
+def job(spec: Spec, since: float) -> Job:
+    made = Job(spec, "rig-0.1", Layout(46), since)
+    for index in range(spec.tasks):
+        task = made.take(index)
+        task.machine, task.stored, task.attempt = f"host-{index}", True, 1
+    return made
+
+
+def test_a_gang_that_yields_counts_whole() -> None:
+    gang = job(SPEC, since=2.0)
+    array = job(Spec("j-2", "b", "red", "sweep", "normal", 2, 2.0, 0.0, 1.0, "img", 1.0), 1.0)
+    units = limit_yield.choose([gang, array], (), lambda rank: (3.0, 0.0))
+    assert [(unit.job.id, len(unit.tasks), unit.cpus) for unit in units] == [("j-1", 4, 8.0)]
+
+
+def test_a_replacement_has_the_number_of_the_others() -> None:
+    gang = job(SPEC, since=0.0)
+    gang.tasks[2].machine = None
+    assert gang.next_attempt == 1
+    for task in gang.tasks.values():
+        task.machine = None
+    assert gang.next_attempt == 2
+
+
+def test_a_gang_that_must_pause_is_not_placed_in_part() -> None:
+    gang = Job(SPEC, "rig-0.1", Layout(46), 0.0)
+    assert gang.waiting(0.0, 1) == [0, 1, 2, 3]
+    for index in range(4):
+        gang.take(index)
+        gang.again.append(index)
+    gang.tasks[3].not_before = 5.0
+    assert gang.waiting(4.0, 200) == []
+    assert sorted(gang.waiting(5.0, 200)) == [0, 1, 2, 3]
