Moves: accepting and the messages to holders leave owner.py; specifications read once

owner.py 1,030 to 716 lines: acceptor.py (accepts and those in doubt), assignments.py (index of tasks by machine, wants). State stays with one object each.

--- /dev/null
+++ b/src/beamspar/control/acceptor.py
@@ -0,0 +1,189 @@
+"""Accepts submitted jobs: places them, stores them, and settles accepts without an answer."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from twisted.logger import Logger
+
+from beamspar.control import records
+from beamspar.control.job import Job
+from beamspar.control.job_writer import JobWriter
+from beamspar.control.session import PARTITION, Session
+from beamspar.http import Clock, sleep, spawn
+from beamspar.settings import Timing
+from beamspar.state import (
+    PLACE,
+    ConflictError,
+    LeaseExpiredError,
+    OutcomeUnknownError,
+    StateClient,
+    StateUnavailableError,
+    put,
+)
+from beamspar.wire import Spec
+
+log = Logger(namespace="owner")
+
+# Looks at an accept in doubt before it is made sure that it can't be applied any more.
+LOOKS = 3
+
+
+class JobOwner(Protocol):
+    """Who owns the jobs once they are stored."""
+
+    jobs: dict[str, Job]
+    partitions: set[str]
+    writer: JobWriter
+    budget: Any
+
+    async def place(self, jobs: list[Job]) -> None:
+        """Bind what can be bound now."""
+
+    def take_off(self, machine: str, job: Job, index: int) -> None:
+        """The job's task is bound to the machine no more."""
+
+    def touch(self, machine: str) -> None:
+        """Tell the machine's holder what is wanted there."""
+
+    def apply_cancellation(self, job_id: str) -> None:
+        """The job's user has cancelled it."""
+
+    async def adopt(self, job_id: str) -> None:
+        """Take a stored job into memory that is not there."""
+
+    def pump(self) -> None:
+        """Place what waits."""
+
+
+class Acceptor:
+    """Owns the jobs that are being accepted, and those whose accept got no answer."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        state: StateClient,
+        timing: Timing,
+        book: JobOwner,
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.state = state
+        self.timing = timing
+        self.book = book
+        self.arriving: dict[str, Job] = {}
+        # A repeated submission may add one more for the same job.
+        self.doubtful: dict[str, list[Job]] = {}
+
+    async def accept(self, spec: Spec) -> bool:
+        """Store a new job, with its first places if there is room; False: it is known."""
+        layout = self.book.writer.layout_now()
+        job = Job(spec, self.session.partition, layout, self.clock.seconds())
+        job.gang_wait_s = self.timing.gang_wait
+        job.served = self.session.revision
+        self.arriving[spec.id] = job
+        try:
+            return await self._accept(job)
+        finally:
+            del self.arriving[spec.id]
+
+    async def _accept(self, job: Job) -> bool:
+        spec = job.spec
+        await self.book.place([job])
+        job.stamp = self.book.writer.stamp()
+        conditions = {
+            **self.session.fence(),
+            **self.session.partition_fence(job.partition),
+            records.job_key(spec.id): 0,
+            records.end_key(spec.id): 0,
+        }
+        try:
+            version = await self.state.multi(
+                conditions, [put(records.job_key(spec.id), job.record())], 1
+            )
+        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
+            for index, task in job.tasks.items():
+                if task.machine is not None:
+                    self.book.take_off(task.machine, job, index)
+            if not isinstance(error, OutcomeUnknownError):
+                self._release(job)
+            else:
+                # It may be stored yet, places and all: what it uses stays counted,
+                # or a record that turns up late would go over the team's limit.
+                self.doubtful.setdefault(spec.id, []).append(job)
+                if len(self.doubtful[spec.id]) == 1:
+                    spawn(self._settle(spec.id), "accept in doubt")
+            raise
+        self.settled(spec.id)
+        job.version = version
+        job.dirty.discard(0)
+        for index, task in job.tasks.items():
+            if index < job.per and task.machine:
+                task.stored = True
+                self.book.touch(task.machine)
+        self.book.jobs[spec.id] = job
+        log.info(
+            "accepted {job} ({job_class}): {n} tasks, {placed} placed",
+            job=spec.id,
+            job_class=spec.job_class,
+            n=spec.tasks,
+            placed=job.bound,
+        )
+        if self.session.is_withdrawn(job.id):
+            # Another controller read what we wrote, and its answer was the faster one.
+            self.book.apply_cancellation(job.id)
+        self.book.writer.flush(job)
+        if job.waiting(self.clock.seconds(), 1):
+            self.book.pump()
+        return True
+
+    async def _settle(self, job_id: str) -> None:
+        """An accept without an answer may have been applied, or may be yet, minutes late.
+
+        Its use of the team's limit counts until its fate is known. After a few looks our
+        partition's record is written anew: accepts check it, so no late one is applied then.
+        """
+        looks, void = 0, False
+        while job_id in self.doubtful and not self.session.lost:
+            await sleep(self.clock, self.timing.report)
+            looks += 1
+            try:
+                if looks > LOOKS and not void:
+                    await self._renew_partition()
+                    void = True
+                if await self._is_stored(job_id) or void:
+                    self.settled(job_id)
+            except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
+                log.info("accept of {job} stays in doubt: {error}", job=job_id, error=error)
+
+    async def _is_stored(self, job_id: str) -> bool:
+        """Is the job's record known, as ours, another's or over?"""
+        item = await self.state.get(records.job_key(job_id), PLACE)
+        if item is None:
+            return await self.state.get(records.end_key(job_id), PLACE) is not None
+        if records.read_job(item).partition not in self.book.partitions:
+            return True
+        await self.book.adopt(job_id)
+        return job_id in self.book.jobs
+
+    async def _renew_partition(self) -> None:
+        key = PARTITION + self.session.partition
+        value = {"owner": self.session.me}
+        conditions = {
+            **self.session.fence(),
+            **self.session.partition_fence(self.session.partition),
+        }
+        revision = await self.state.multi(conditions, [put(key, value)], PLACE)
+        self.session.learn(key, value, revision)
+
+    def settled(self, job_id: str) -> None:
+        """The job's record is known now; an accept in doubt counts no longer."""
+        for job in self.doubtful.pop(job_id, ()):
+            self._release(job)
+
+    def _release(self, job: Job) -> None:
+        if self.book.budget:
+            for task in job.tasks.values():
+                if task.machine:
+                    self.book.budget.free(job)
--- /dev/null
+++ b/src/beamspar/control/assignments.py
@@ -0,0 +1,223 @@
+"""What is bound to each machine, and telling the machines' holders what is wanted there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+
+from beamspar.control.gang import Phase
+from beamspar.control.job import Job, Task
+from beamspar.control.messages import CLEAR, HOLD, RUN, STOP, Status, Sync, Want
+from beamspar.control.records import LIVE
+from beamspar.control.session import Session
+from beamspar.http import Clock, spawn
+from beamspar.settings import Timing
+
+
+class JobBook(Protocol):
+    """Whose tasks these are, and who is told what holders answer."""
+
+    jobs: dict[str, Job]
+    partitions: set[str]
+    loaded: set[str]
+
+    def statuses(self, statuses: list[Status]) -> None:
+        """Take in what holders tell of our attempts."""
+
+
+class Assignments:
+    """Owns the index of tasks by machine and the messages to holders."""
+
+    def __init__(self, clock: Clock, session: Session, timing: Timing, book: JobBook) -> None:
+        self.clock = clock
+        self.session = session
+        self.timing = timing
+        self.book = book
+        # What is bound to each machine, and what of it was over and waits for its clear.
+        self.on: dict[str, dict[tuple[str, int], tuple[Job, Task]]] = {}
+        self.clears: dict[str, dict[tuple[str, int], tuple[str, float]]] = {}
+        # Bound, but its holder was not told yet: its room is not off the picture.
+        self.untold: dict[tuple[str, int], tuple[Job, Task]] = {}
+        self.seq = 0
+        # Per holder: the machines whose wants changed, and when all was said last.
+        self.due: dict[str, set[str]] = {}
+        self.syncing: set[str] = set()
+        self.sync_called = False
+        self.told_all: dict[str, float] = {}
+        self.send: Callable[[str, list[Sync]], Deferred[list[Status] | None]] | None = None
+
+    def place_on(self, machine: str, job: Job, index: int, task: Task) -> None:
+        """The job's task is bound to the machine now."""
+        self.on.setdefault(machine, {})[(job.id, index)] = (job, task)
+        self.touch(machine)
+
+    def take_off(self, machine: str, job: Job, index: int) -> None:
+        """The job's task is bound to the machine no more."""
+        key = (job.id, index)
+        # The same job may be in memory twice while it arrives and is read back.
+        if key in self.untold and self.untold[key][0] is job:
+            del self.untold[key]
+        there = self.on.get(machine, {})
+        if key in there and there[key][0] is job:
+            del there[key]
+            if not there:
+                del self.on[machine]
+            self.touch(machine)
+
+    def touch(self, machine: str) -> None:
+        """Its holder should hear what is wanted there now, this turn's changes together."""
+        held = self.session.holder_of(machine)
+        if held is not None:
+            self.due.setdefault(held[0], set()).add(machine)
+            if not self.sync_called:
+                self.sync_called = True
+                self.clock.callLater(0, self.sync)
+
+    def sync(self) -> None:
+        """Tell the holders what changed, and now and then all, which mends what was lost."""
+        self.sync_called = False
+        if not self.session.valid() or self.send is None or not self.book.loaded:
+            return
+        now = self.clock.seconds()
+        for holder in {block.holder for block in self.session.blocks.values()}:
+            full = now - self.told_all.get(holder, -1e9) >= self.timing.repair
+            if holder not in self.syncing and (full or self.due.get(holder)):
+                self.syncing.add(holder)
+                spawn(self._sync(holder, full), f"telling {holder}")
+
+    async def _sync(self, holder: str, full: bool) -> None:
+        machines = self.due.pop(holder, set())
+        answers = None
+        try:
+            messages = self._wants(holder, None if full else machines)
+            if full:
+                self.told_all[holder] = self.clock.seconds()
+            assert self.send is not None
+            answers = await self.send(holder, messages) if messages else []
+        finally:
+            self.syncing.discard(holder)
+            if answers is None:
+                # Lost, or its answer was: said again with the next heartbeat.
+                self.due.setdefault(holder, set()).update(machines)
+                if full:
+                    self.told_all.pop(holder, None)
+        if answers:
+            self.book.statuses(answers)
+        if answers is not None and self.due.get(holder):
+            self.sync()
+
+    def _wants(self, holder: str, machines: set[str] | None) -> list[Sync]:
+        """Per partition all that we want on these machines, or (None) on all of the holder's."""
+        # An empty list of a partition whose jobs are still being read would tell the holder
+        # that none of its tasks is wanted, and it would stop them all.
+        wants: dict[str, list[Want]] = {
+            f: [] for f in sorted(self.book.partitions & self.book.loaded)
+        }
+        names = set(machines) if machines is not None else {*self.on, *self.clears}
+        for name in names:
+            held = self.session.holder_of(name)
+            if held is None:
+                self.clears.pop(name, None)
+            elif held[0] == holder:
+                self._wants_on(name, held[1], wants)
+        self.seq += 1
+        messages = []
+        for partition, listed in wants.items():
+            record = self.session.partitions.get(partition)
+            if record:
+                part = None if machines is None else sorted(machines)
+                messages.append(
+                    Sync(
+                        self.session.me,
+                        partition,
+                        record.version,
+                        self.session.inc,
+                        self.seq,
+                        listed,
+                        part,
+                    )
+                )
+        return messages
+
+    def _wants_on(self, machine: str, number: int, wants: dict[str, list[Want]]) -> None:
+        for (job_id, index), (job, task) in self.on.get(machine, {}).items():
+            spec = job.spec
+            if job.partition not in wants:
+                continue
+            task.number = number
+            self.untold.pop((job_id, index), None)
+            if not task.stored:
+                # The room is spoken for at once: while the record was on its way, others
+                # used to take it, and the start was refused.
+                action = HOLD
+            elif (
+                job.status != LIVE
+                or task.yields
+                or (spec.is_gang and job.phase(self.clock.seconds()) is Phase.STOPPING)
+            ):
+                action = STOP
+            else:
+                action = RUN
+            wants[job.partition].append(
+                Want(
+                    machine,
+                    number,
+                    f"{job_id}/{index}",
+                    task.attempt,
+                    action,
+                    spec.cpus,
+                    spec.gpus,
+                    spec.memory_gb,
+                    spec.image,
+                    spec.image_gb,
+                    spec.rank,
+                    spec.checkpoint_s > 0 and not (spec.is_gang and job.gang.broken),
+                    spec.save_s,
+                    task.evict,
+                    spec.is_gang,
+                )
+            )
+        clears = self.clears.get(machine, {})
+        for (name, attempt), (partition, since) in list(clears.items()):
+            if self.clock.seconds() - since > self.timing.worker_lease * 3:
+                del clears[(name, attempt)]
+            elif partition in wants and self._clearable(name):
+                wants[partition].append(Want(machine, number, name, attempt, CLEAR))
+
+    def _clearable(self, name: str) -> bool:
+        """Only what is stored may be cleared from a machine's memory."""
+        job_id, _, index = name.partition("/")
+        job = self.book.jobs.get(job_id)
+        return job is None or (not job.writing and int(index) // job.per not in job.dirty)
+
+    def moved(self, machine: str) -> None:
+        """The machine's block has changed: its holder is told what we have there."""
+        if machine in self.on or machine in self.clears:
+            self.touch(machine)
+
+    def repeat_all(self) -> None:
+        """Tell every holder all that is wanted."""
+        self.told_all.clear()
+        self.sync()
+
+    def clear(self, job: Job, machine: str, task: str, attempt: int) -> None:
+        """An attempt is over: the machine may forget it once that is stored."""
+        clears = self.clears.setdefault(machine, {})
+        clears[(task, attempt)] = (job.partition, self.clock.seconds())
+        job.clearing.add(machine)
+
+    def cleared(self, status: Status) -> bool:
+        """Was the attempt waiting for its clear? Then that is done."""
+        clears = self.clears.get(status.machine)
+        if not clears or clears.pop((status.task, status.attempt), None) is None:
+            return False
+        if not clears:
+            del self.clears[status.machine]
+        self.touch(status.machine)
+        return True
+
+    def without_holder(self) -> list[str]:
+        """Machines with tasks of ours whose block is gone."""
+        return [machine for machine in self.on if self.session.holder_of(machine) is None]
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -585,10 +585,10 @@
             return Offers(offers)
         now = self.clock.seconds()
         rooms = self.rooms()
-        self.reservations.update(asks, rooms, now)
+        specs = [msgspec.convert(ask.spec, Spec) for ask in asks]
+        self.reservations.update(list(zip(specs, asks, strict=True)), rooms, now)
         near = {r.name for r in rooms if (self.session.holder_of(r.name) or ("", 0))[0] == member}
-        for ask in asks:
-            spec = msgspec.convert(ask.spec, Spec)
+        for spec, ask in zip(specs, asks, strict=True):
             zones, machines = dict(ask.zones), dict(ask.machines)
             left = min(ask.count, 200)
             room: Room | None
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -137,7 +137,8 @@
         owner.budget = budget
         budget.loaded = lambda: owner.loaded
         budget.on_share = owner.pump
-        owner.rooms, owner.ask, owner.send = self._rooms, self._ask, self._send_syncs
+        owner.rooms, owner.ask = self._rooms, self._ask
+        owner.assignments.send = self._send_syncs
         owner.preference = leader.preference = self._preference
         leader.unreached = self.unreached.get
         holder.caches = self.caches
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -15,24 +15,20 @@
 from twisted.logger import Logger
 
 from beamspar.control import limit_yield, records
+from beamspar.control.acceptor import Acceptor
+from beamspar.control.assignments import Assignments
 from beamspar.control.gang import Phase
 from beamspar.control.job import Job, Task
 from beamspar.control.job_writer import JobWriter
 from beamspar.control.limit_yield import Unit
 from beamspar.control.messages import (
-    CLEAR,
     ENDED,
     GONE,
-    HOLD,
     KEPT,
     REFUSED,
-    RUN,
-    STOP,
     Ask,
     Placed,
     Status,
-    Sync,
-    Want,
 )
 from beamspar.control.records import LIVE, WITHDRAWN, Chunk, JobRecord
 from beamspar.control.session import PARTITION, Session
@@ -45,11 +41,9 @@
     PLACE,
     ConflictError,
     LeaseExpiredError,
-    OutcomeUnknownError,
     StateClient,
     StateUnavailableError,
     drop,
-    put,
 )
 from beamspar.wire import PRIORITIES, Spec
 
@@ -57,8 +51,6 @@
 
 # Waiting jobs that are placed in one round.
 AT_ONCE = 64
-# Looks at an accept in doubt before it is made sure that it can't be applied any more.
-LOOKS = 3
 
 
 class Owner:
@@ -79,14 +71,6 @@
         self.timing = timing
         self.facts = settings.facts.state
         self.jobs: dict[str, Job] = {}
-        self.arriving: dict[str, Job] = {}
-        # Accepts without an answer: a repeated submission may add one more for the same job.
-        self.doubtful: dict[str, list[Job]] = {}
-        # What is bound to each machine, and what of it was over and waits for its clear.
-        self.on: dict[str, dict[tuple[str, int], tuple[Job, Task]]] = {}
-        self.clears: dict[str, dict[tuple[str, int], tuple[str, float]]] = {}
-        # Bound, but its holder was not told yet: its room is not off the picture.
-        self.untold: dict[tuple[str, int], tuple[Job, Task]] = {}
         self.partitions: set[str] = set()
         # Reads of jobs under way, and jobs that ended meanwhile: what was read is older.
         self.reading = 0
@@ -95,22 +79,17 @@
         self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
         self.spot: set[str] = set()
-        self.seq = 0
         self.pumping = False
         self.again = False
-        # Per holder: the machines whose wants changed, and when all was said last.
-        self.due: dict[str, set[str]] = {}
-        self.syncing: set[str] = set()
-        self.sync_called = False
-        self.told_all: dict[str, float] = {}
         self.rooms: Callable[[], list[Room]] = lambda: []
         self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
         self.ask: Callable[[list[Ask]], Deferred[list[Placed] | None]] | None = None
-        self.send: Callable[[str, list[Sync]], Deferred[list[Status] | None]] | None = None
         self.budget: Any = None
         self.dropping = False
         self.yielded_at = -1e9
         self.writer = JobWriter(clock, session, state, self.facts, timing, self)
+        self.assignments = Assignments(clock, session, timing, self)
+        self.acceptor = Acceptor(clock, session, state, timing, self)
         session.listeners.append(self._changed)
 
     # -- jobs come and go
@@ -138,10 +117,9 @@
                 self.zones[machine.name] = machine.zone
                 if machine.spot:
                     self.spot.add(machine.name)
-                if machine.name in self.on or machine.name in self.clears:
-                    self.touch(machine.name)
+                self.assignments.moved(machine.name)
         elif kind == "w":
-            self._apply_cancellation(name)
+            self.apply_cancellation(name)
 
     async def load(self) -> None:
         """Read the jobs of our partitions that we don't have in memory yet."""
@@ -172,8 +150,7 @@
                 log.info(
                     "{n} jobs of {partitions}", n=len(self.jobs), partitions=sorted(self.partitions)
                 )
-                self.told_all.clear()
-                self.sync()
+                self.assignments.repeat_all()
                 self.pump()
                 return
             except StateUnavailableError as error:
@@ -222,13 +199,13 @@
         self.jobs[job.id] = job
         for index, task in job.tasks.items():
             if task.machine is not None:
-                self._place_on(task.machine, job, index, task)
+                self.assignments.place_on(task.machine, job, index, task)
         if self.budget:
             self.budget.restore(job)
-        self._settled(job.id)
+        self.acceptor.settled(job.id)
         if self.session.is_withdrawn(job.id):
             # Stored after what we read of it.
-            self._apply_cancellation(job.id)
+            self.apply_cancellation(job.id)
         return True
 
     def forget(self, job: Job, ended: bool = False) -> None:
@@ -238,136 +215,30 @@
             self.ended.add(job.id)
         for index, task in job.tasks.items():
             if task.machine is not None:
-                self._take_off(task.machine, job, index)
+                self.take_off(task.machine, job, index)
         self.writer.touch_clears(job)
 
-    # -- the index by machine
-
-    def _place_on(self, machine: str, job: Job, index: int, task: Task) -> None:
-        self.on.setdefault(machine, {})[(job.id, index)] = (job, task)
-        self.touch(machine)
-
-    def _take_off(self, machine: str, job: Job, index: int) -> None:
-        key = (job.id, index)
-        # The same job may be in memory twice while it arrives and is read back.
-        if key in self.untold and self.untold[key][0] is job:
-            del self.untold[key]
-        there = self.on.get(machine, {})
-        if key in there and there[key][0] is job:
-            del there[key]
-            if not there:
-                del self.on[machine]
-            self.touch(machine)
+    def take_off(self, machine: str, job: Job, index: int) -> None:
+        """The job's task is bound to the machine no more."""
+        self.assignments.take_off(machine, job, index)
 
     def touch(self, machine: str) -> None:
-        """Its holder should hear what is wanted there now, this turn's changes together."""
-        held = self.session.holder_of(machine)
-        if held is not None:
-            self.due.setdefault(held[0], set()).add(machine)
-            if not self.sync_called:
-                self.sync_called = True
-                self.clock.callLater(0, self.sync)
+        """Tell the machine's holder what is wanted there."""
+        self.assignments.touch(machine)
 
     async def accept(self, spec: Spec) -> bool:
         """Store a new job, with its first places if there is room; False: it is known."""
-        layout = self.writer.layout_now()
-        job = Job(spec, self.session.partition, layout, self.clock.seconds())
-        job.gang_wait_s = self.timing.gang_wait
-        job.served = self.session.revision
-        self.arriving[spec.id] = job
-        try:
-            return await self._accept(job)
-        finally:
-            del self.arriving[spec.id]
-
-    async def _accept(self, job: Job) -> bool:
-        spec = job.spec
-        await self._place([job])
-        job.stamp = self.writer.stamp()
-        conditions = {
-            **self.session.fence(),
-            **self.session.partition_fence(job.partition),
-            records.job_key(spec.id): 0,
-            records.end_key(spec.id): 0,
-        }
-        try:
-            version = await self.state.multi(
-                conditions, [put(records.job_key(spec.id), job.record())], 1
-            )
-        except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
-            for index, task in job.tasks.items():
-                if task.machine is not None:
-                    self._take_off(task.machine, job, index)
-            if not isinstance(error, OutcomeUnknownError):
-                self._release(job)
-            else:
-                # It may be stored yet, places and all: what it uses stays counted,
-                # or a record that turns up late would go over the team's limit.
-                self.doubtful.setdefault(spec.id, []).append(job)
-                if len(self.doubtful[spec.id]) == 1:
-                    spawn(self._settle(spec.id), "accept in doubt")
-            raise
-        self._settled(spec.id)
-        job.version = version
-        job.dirty.discard(0)
-        for index, task in job.tasks.items():
-            if index < job.per and task.machine:
-                task.stored = True
-                self.touch(task.machine)
-        self.jobs[spec.id] = job
-        log.info(
-            "accepted {job} ({job_class}): {n} tasks, {placed} placed",
-            job=spec.id,
-            job_class=spec.job_class,
-            n=spec.tasks,
-            placed=job.bound,
-        )
-        if self.session.is_withdrawn(job.id):
-            # Another controller read what we wrote, and its answer was the faster one.
-            self._apply_cancellation(job.id)
-        self.writer.flush(job)
-        if job.waiting(self.clock.seconds(), 1):
-            self.pump()
-        return True
+        return await self.acceptor.accept(spec)
 
-    async def _settle(self, job_id: str) -> None:
-        """An accept without an answer may have been applied, or may be yet, minutes late.
+    @property
+    def arriving(self) -> dict[str, Job]:
+        """Jobs that are being accepted here."""
+        return self.acceptor.arriving
 
-        Its use of the team's limit counts until its fate is known. After a few looks our
-        partition's record is written anew: accepts check it, so no late one is applied then.
-        """
-        looks, void = 0, False
-        while job_id in self.doubtful and not self.session.lost:
-            await sleep(self.clock, self.timing.report)
-            looks += 1
-            try:
-                if looks > LOOKS and not void:
-                    await self._renew_partition()
-                    void = True
-                if await self._is_stored(job_id) or void:
-                    self._settled(job_id)
-            except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
-                log.info("accept of {job} stays in doubt: {error}", job=job_id, error=error)
-
-    async def _is_stored(self, job_id: str) -> bool:
-        """Is the job's record known, as ours, another's or over?"""
-        item = await self.state.get(records.job_key(job_id), PLACE)
-        if item is None:
-            return await self.state.get(records.end_key(job_id), PLACE) is not None
-        if records.read_job(item).partition not in self.partitions:
-            return True
-        await self.adopt(job_id)
-        return job_id in self.jobs
-
-    async def _renew_partition(self) -> None:
-        key = PARTITION + self.session.partition
-        value = {"owner": self.session.me}
-        conditions = {
-            **self.session.fence(),
-            **self.session.partition_fence(self.session.partition),
-        }
-        revision = await self.state.multi(conditions, [put(key, value)], PLACE)
-        self.session.learn(key, value, revision)
+    @property
+    def doubtful(self) -> dict[str, list[Job]]:
+        """Accepts without an answer."""
+        return self.acceptor.doubtful
 
     async def adopt(self, job_id: str) -> None:
         """Take a stored job of our partitions into memory that is not there."""
@@ -388,18 +259,7 @@
         finally:
             self._read()
 
-    def _settled(self, job_id: str) -> None:
-        """The job's record is known now; an accept in doubt counts no longer."""
-        for job in self.doubtful.pop(job_id, ()):
-            self._release(job)
-
-    def _release(self, job: Job) -> None:
-        if self.budget:
-            for task in job.tasks.values():
-                if task.machine:
-                    self.budget.free(job)
-
-    def _apply_cancellation(self, job_id: str) -> None:
+    def apply_cancellation(self, job_id: str) -> None:
         """A withdrawal that somebody has stored: final, so it needs no read to be heeded."""
         job = self.jobs.get(job_id)
         if job is not None and job.status == LIVE:
@@ -426,7 +286,7 @@
     def _drop_unstored(self, job: Job) -> None:
         for index, task in job.tasks.items():
             if task.machine is not None and not task.stored:
-                self._take_off(task.machine, job, index)
+                self.take_off(task.machine, job, index)
                 task.machine = None
                 if self.budget:
                     self.budget.free(job)
@@ -449,7 +309,7 @@
                 jobs.sort(key=lambda j: (j.spec.rank, j.since))
                 part = self._first(jobs)
                 bound = sum(job.bound for job in part)
-                await self._place(part)
+                await self.place(part)
                 for job in jobs:
                     self.writer.flush(job)
                 if len(part) < len(jobs) and sum(job.bound for job in part) > bound:
@@ -479,7 +339,7 @@
     def zone_of(self, machine: str) -> str:
         return self.zones.get(machine, "")
 
-    async def _place(self, jobs: list[Job]) -> None:
+    async def place(self, jobs: list[Job]) -> None:
         """Warm machines of ours, then by the leader's word, then cold ones of ours."""
         if not self.session.valid():
             return
@@ -544,10 +404,11 @@
 
     def _reserve(self, rooms: list[Room]) -> None:
         """Take off what we bound and the holder has not been told of yet."""
-        if not self.untold:
+        untold = self.assignments.untold
+        if not untold:
             return
         by_name = {room.name: room for room in rooms}
-        for job, task in self.untold.values():
+        for job, task in untold.values():
             if task.machine in by_name:
                 by_name[task.machine].take(job.spec)
 
@@ -626,8 +487,8 @@
         job.dirty.add(index // job.per)
         if job.spec.is_gang and job.bound + job.done_count == job.spec.tasks:
             job.gang.completed()
-        self._place_on(machine, job, index, task)
-        self.untold[(job.id, index)] = (job, task)
+        self.assignments.place_on(machine, job, index, task)
+        self.assignments.untold[(job.id, index)] = (job, task)
         log.info(
             "{job}/{index} try {attempt} to {machine}",
             job=job.id,
@@ -638,7 +499,7 @@
 
     def _unbind(self, job: Job, index: int, task: Task) -> None:
         if task.machine is not None:
-            self._take_off(task.machine, job, index)
+            self.take_off(task.machine, job, index)
         task.machine, task.stored, task.state = None, False, ""
         task.number = 0
         job.dirty.add(index // job.per)
@@ -662,13 +523,8 @@
             self.pump()
 
     def _status(self, status: Status) -> Job | None:
-        clears = self.clears.get(status.machine)
-        if clears and status.state in (GONE, KEPT, REFUSED):
-            if clears.pop((status.task, status.attempt), None) is not None:
-                if not clears:
-                    del self.clears[status.machine]
-                self.touch(status.machine)
-                return None
+        if status.state in (GONE, KEPT, REFUSED) and self.assignments.cleared(status):
+            return None
         job_id, _, index_text = status.task.partition("/")
         job = self.jobs.get(job_id)
         task = job.tasks.get(int(index_text)) if job else None
@@ -709,18 +565,16 @@
         )
         self._unbind(job, index, task)
         if status.state == ENDED:
-            clears = self.clears.setdefault(status.machine, {})
-            clears[(status.task, status.attempt)] = (job.partition, now)
-            job.clearing.add(status.machine)
+            self.assignments.clear(job, status.machine, status.task, status.attempt)
         if status.state == ENDED and status.why == "done" and not job.spec.is_service:
             job.done.setdefault(index // job.per, set()).add(index)
             if job.spec.is_gang:
-                self._gang_done(job, now)
+                self._gang_done(job)
             job.done_count = sum(len(done) for done in job.done.values())
             return job
         if job.status == LIVE and self.session.is_withdrawn(job.id):
             # The holder knew of the withdrawal before we did: not to be bound once more.
-            self._apply_cancellation(job.id)
+            self.apply_cancellation(job.id)
         elif job.status == LIVE:
             if job.spec.is_gang:
                 self._gang_lost(job, task, status, now)
@@ -756,147 +610,28 @@
             task.not_before = now + gang.pause(job.id, self.timing.retry)
         self._touch_all(job)
 
-    def _gang_done(self, job: Job, now: float) -> None:
+    def _gang_done(self, job: Job) -> None:
         """A gang's tasks complete together: when one is done, all are."""
         for index, task in job.tasks.items():
             if task.machine is not None:
                 name = f"{job.id}/{index}"
-                clears = self.clears.setdefault(task.machine, {})
-                clears[(name, task.attempt)] = (job.partition, now)
-                job.clearing.add(task.machine)
+                self.assignments.clear(job, task.machine, name, task.attempt)
                 self._unbind(job, index, task)
             job.done.setdefault(index // job.per, set()).add(index)
             job.dirty.add(index // job.per)
         job.again.clear()
 
-    # -- telling holders
-
-    def sync(self) -> None:
-        """Tell the holders what changed, and now and then all, which mends what was lost."""
-        self.sync_called = False
-        if not self.session.valid() or self.send is None or not self.loaded:
-            return
-        now = self.clock.seconds()
-        for holder in {block.holder for block in self.session.blocks.values()}:
-            full = now - self.told_all.get(holder, -1e9) >= self.timing.repair
-            if holder not in self.syncing and (full or self.due.get(holder)):
-                self.syncing.add(holder)
-                spawn(self._sync(holder, full), f"telling {holder}")
-
-    async def _sync(self, holder: str, full: bool) -> None:
-        machines = self.due.pop(holder, set())
-        answers = None
-        try:
-            messages = self._wants(holder, None if full else machines)
-            if full:
-                self.told_all[holder] = self.clock.seconds()
-            assert self.send is not None
-            answers = await self.send(holder, messages) if messages else []
-        finally:
-            self.syncing.discard(holder)
-            if answers is None:
-                # Lost, or its answer was: said again with the next heartbeat.
-                self.due.setdefault(holder, set()).update(machines)
-                if full:
-                    self.told_all.pop(holder, None)
-        if answers:
-            self.statuses(answers)
-        if answers is not None and self.due.get(holder):
-            self.sync()
-
-    def _wants(self, holder: str, machines: set[str] | None) -> list[Sync]:
-        """Per partition all that we want on these machines, or (None) on all of the holder's."""
-        # An empty list of a partition whose jobs are still being read would tell the holder
-        # that none of its tasks is wanted, and it would stop them all.
-        wants: dict[str, list[Want]] = {f: [] for f in sorted(self.partitions & self.loaded)}
-        names = set(machines) if machines is not None else {*self.on, *self.clears}
-        for name in names:
-            held = self.session.holder_of(name)
-            if held is None:
-                self.clears.pop(name, None)
-            elif held[0] == holder:
-                self._wants_on(name, held[1], wants)
-        self.seq += 1
-        messages = []
-        for partition, listed in wants.items():
-            record = self.session.partitions.get(partition)
-            if record:
-                part = None if machines is None else sorted(machines)
-                messages.append(
-                    Sync(
-                        self.session.me,
-                        partition,
-                        record.version,
-                        self.session.inc,
-                        self.seq,
-                        listed,
-                        part,
-                    )
-                )
-        return messages
-
-    def _wants_on(self, machine: str, number: int, wants: dict[str, list[Want]]) -> None:
-        for (job_id, index), (job, task) in self.on.get(machine, {}).items():
-            spec = job.spec
-            if job.partition not in wants:
-                continue
-            task.number = number
-            self.untold.pop((job_id, index), None)
-            if not task.stored:
-                # The room is spoken for at once: while the record was on its way, others
-                # used to take it, and the start was refused.
-                action = HOLD
-            elif (
-                job.status != LIVE
-                or task.yields
-                or (spec.is_gang and job.phase(self.clock.seconds()) is Phase.STOPPING)
-            ):
-                action = STOP
-            else:
-                action = RUN
-            wants[job.partition].append(
-                Want(
-                    machine,
-                    number,
-                    f"{job_id}/{index}",
-                    task.attempt,
-                    action,
-                    spec.cpus,
-                    spec.gpus,
-                    spec.memory_gb,
-                    spec.image,
-                    spec.image_gb,
-                    spec.rank,
-                    spec.checkpoint_s > 0 and not (spec.is_gang and job.gang.broken),
-                    spec.save_s,
-                    task.evict,
-                    spec.is_gang,
-                )
-            )
-        clears = self.clears.get(machine, {})
-        for (name, attempt), (partition, since) in list(clears.items()):
-            if self.clock.seconds() - since > self.timing.worker_lease * 3:
-                del clears[(name, attempt)]
-            elif partition in wants and self._clearable(name):
-                wants[partition].append(Want(machine, number, name, attempt, CLEAR))
-
-    def _clearable(self, name: str) -> bool:
-        """Only what is stored may be cleared from a machine's memory."""
-        job_id, _, index = name.partition("/")
-        job = self.jobs.get(job_id)
-        return job is None or (not job.writing and int(index) // job.per not in job.dirty)
-
     def tick(self) -> None:
         self.writer.tick()
         for name in (self.session.withdrawn | self.session.told.keys()) & self.jobs.keys():
-            self._apply_cancellation(name)
+            self.apply_cancellation(name)
         self._drop_empty_partition()
         now = self.clock.seconds()
         self._let_go(now)
         if self.budget and now - self.yielded_at >= self.timing.report:
             self.yielded_at = now
             self._yield()
-        self.sync()
+        self.assignments.sync()
         self._release_vanished()
         self.pump()
 
@@ -970,8 +705,8 @@
     def _release_vanished(self) -> None:
         """A machine whose block record is gone was returned, with all that was on it."""
         changed: dict[str, Job] = {}
-        for machine in [m for m in self.on if self.session.holder_of(m) is None]:
-            for (_, index), (job, task) in list(self.on[machine].items()):
+        for machine in self.assignments.without_holder():
+            for (_, index), (job, task) in list(self.assignments.on[machine].items()):
                 if task.stored:
                     name = f"{job.id}/{index}"
                     status = Status(machine, task.number, name, task.attempt, GONE)
--- a/src/beamspar/control/reservations.py
+++ b/src/beamspar/control/reservations.py
@@ -33,14 +33,12 @@
         self.timing = timing
         self.current: Reservation | None = None
 
-    def update(self, asks: list[Ask], rooms: list[Room], now: float) -> None:
+    def update(self, asks: list[tuple[Spec, Ask]], rooms: list[Room], now: float) -> None:
         """Reserve for the gang among these that has waited too long, if nothing is reserved."""
         if self.current is not None and self.current.until < now:
             self.current = None
-        for ask in sorted(asks, key=lambda ask: -ask.waited_s):
-            spec = msgspec.convert(ask.spec, Spec)
-            if not spec.is_gang or not spec.grouped or ask.zones:
-                continue
+        gangs = [entry for entry in asks if entry[0].is_gang and not entry[1].zones]
+        for spec, ask in sorted(gangs, key=lambda entry: -entry[1].waited_s):
             if self.current is not None and self.current.job == spec.id:
                 self.current.until = now + self.timing.report
             elif self.current is None and ask.waited_s > self.timing.starved:
