--- a/tests/standins/releases.py
+++ b/tests/standins/releases.py
@@ -11,6 +11,7 @@
 import importlib
 import io
 import os
+import shutil
 import subprocess
 import sys
 import tarfile
@@ -121,6 +122,7 @@
         os.rename(made, folder)
     except OSError:
         # Another process was first.
+        shutil.rmtree(made)
         if not folder.exists():
             raise
     return folder
