--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -36,9 +36,6 @@
 list_lag_s = 8.0
 """
 
-# They build the program into one folder: at the same time they would meet half of it.
-pytestmark = pytest.mark.xdist_group("program")
-
 
 def free_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
