--- /dev/null
+++ b/tests/test_acceptor.py
@@ -0,0 +1,99 @@
+"""Accepts without an answer, with the state service scripted: what they bind stays counted."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from twisted.internet.defer import ensureDeferred
+
+from beamspar.control.budget import Budget
+from beamspar.control.owner import Owner
+from beamspar.control.records import JobRecord
+from beamspar.control.session import Session
+from beamspar.placement import Room
+from beamspar.settings import Timing, Tuning
+from beamspar.state import Item, OutcomeUnknownError, StateUnavailableError
+from beamspar.wire import Spec
+from tests.standins.clock import SimClock
+from tests.test_budget import KEY, settings
+
+SPEC = Spec("j-1", "front", "red", "standing", "normal", 2, 2.0, 0.0, 1.0, "img", 1.0)
+
+
+class Store:
+    """Loses the answer to an accept, which is carried out late; reads may fail."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.reads = 0
+        # Does each second read of the job fail, which would take it into memory?
+        self.failing = False
+        self.renewed = 0
+
+    async def multi(self, conditions: Any, changes: Any, *rest: Any) -> int:
+        if changes[0]["put"] == "job/j-1":
+            self.accept = changes[0]["data"]
+            raise OutcomeUnknownError("no answer")
+        self.renewed += 1
+        return 20
+
+    async def get(self, key: str, *rest: Any) -> Item | None:
+        self.reads += key == "job/j-1"
+        if self.failing and self.reads % 2 == 0:
+            raise StateUnavailableError("refused")
+        return self.items.get(key)
+
+
+def make() -> tuple[Owner, Store, SimClock]:
+    clock, store = SimClock(), Store()
+    timing = Timing(settings(), Tuning())
+    session = Session(clock, store, settings(), timing)  # type: ignore[arg-type]
+    session.started, session.partition = True, "rig-0.1"
+    owner = Owner(clock, session, store, settings(), timing)  # type: ignore[arg-type]
+    owner.budget = budget = Budget(session, store, settings())  # type: ignore[arg-type]
+    budget.loaded = lambda: owner.loaded
+    session.learn("c/folio/rig-0.1", {"owner": "rig-0"}, 3)
+    session.learn(KEY, {"rig-0.1": [10.0, 0.0]}, 5)
+    session._caught_up(5)
+    owner.loaded = {"rig-0.1"}
+    room = Room("m-1", "small", "east", False, 8.0, 0.0, 64.0)
+    owner.rooms = lambda: [room]
+    # The session is kept valid by hand.
+    session.valid = lambda: True  # type: ignore[method-assign]
+    return owner, store, clock
+
+
+def accept_in_doubt() -> tuple[Owner, Store, SimClock]:
+    owner, store, clock = make()
+    failed: list[Any] = []
+    ensureDeferred(owner.accept(SPEC)).addErrback(failed.append)
+    assert failed and failed[0].check(OutcomeUnknownError)
+    assert owner.budget.used[("rig-0.1", "red")] == (4.0, 0.0)
+    return owner, store, clock
+
+
+def test_an_accept_that_is_stored_but_not_in_memory_still_counts() -> None:
+    owner, store, clock = accept_in_doubt()
+    record = msgspec.convert(store.accept, JobRecord)
+    assert len(record.chunk.bound) == 2
+    # Carried out late; and from then on taking it into memory fails.
+    store.items["job/j-1"] = Item("job/j-1", store.accept, 7)
+    store.failing = True
+    clock.advance_to(60.0)
+    assert store.renewed, "later accepts are void by now"
+    assert "j-1" not in owner.jobs
+    assert owner.budget.used[("rig-0.1", "red")] == (4.0, 0.0)
+    store.failing = False
+    clock.advance_to(70.0)
+    assert owner.jobs["j-1"].bound == 2
+    assert owner.budget.used[("rig-0.1", "red")] == (4.0, 0.0)
+
+
+def test_an_accept_that_can_not_be_stored_any_more_counts_no_longer() -> None:
+    owner, store, clock = accept_in_doubt()
+    clock.advance_to(60.0)
+    assert store.renewed
+    assert owner.doubtful == {}
+    assert owner.budget.used[("rig-0.1", "red")] == pytest.approx((0.0, 0.0))
--- /dev/null
+++ b/tests/test_limit_use.py
@@ -0,0 +1,67 @@
+"""What counts against a team's limit: the most that a stored record may bind, chunk by chunk."""
+
+from __future__ import annotations
+
+from beamspar.control.job import Job
+from beamspar.control.limit_use import LimitUse
+from beamspar.control.records import Layout
+from beamspar.wire import Spec
+
+
+def bound(tasks: int, chunk: int = 0) -> LimitUse:
+    """Tasks that are bound in one chunk, and stored."""
+    use = LimitUse()
+    for _ in range(tasks):
+        use.bind(chunk)
+    use.written(chunk, use.writing(chunk))
+    return use
+
+
+def test_a_task_counts_until_its_release_is_stored() -> None:
+    use = bound(3)
+    use.unbind(0)
+    assert use.tasks == 3
+    binding = use.writing(0)
+    assert use.tasks == 3, "the write may not have been carried out"
+    use.written(0, binding)
+    assert use.tasks == 2
+
+
+def test_a_task_takes_the_place_of_another_in_the_same_record() -> None:
+    use = bound(3)
+    use.unbind(0)
+    assert use.extra([0]) == 0
+    assert use.extra([0, 0]) == 1
+    assert use.extra([1]) == 1, "another chunk may be stored first"
+    use.bind(0)
+    assert use.tasks == 3
+
+
+def test_a_write_without_an_answer_counts_until_one_is_stored() -> None:
+    use = bound(1)
+    use.bind(0)
+    use.writing(0)
+    # Refused by its holder: bound no more, but the write may have been carried out.
+    use.unbind(0)
+    assert use.tasks == 2
+    use.written(0, use.writing(0))
+    assert use.tasks == 1
+
+
+def test_both_layouts_count_until_all_chunks_are_written() -> None:
+    spec = Spec("j-1", "front", "red", "sweep", "normal", 8, 1.0, 0.0, 1.0, "img", 1.0)
+    job = Job(spec, "rig-0.1", Layout(46, first=True), 0.0)
+    for index in range(8):
+        job.take(index)
+        job.bind(index, "host-1")
+    job.limit_use.written(0, job.limit_use.writing(0))
+    job.unbind(0)
+    job.unbind(1)
+    job.relayout(Layout(2))
+    assert job.limit_use.tasks == 8
+    for chunk in range(4):
+        job.limit_use.written(chunk, job.limit_use.writing(chunk))
+        assert job.limit_use.tasks == 8
+        assert job.waiting(0.0, 8) == [], "nothing is bound meanwhile"
+    job.limit_use.settle()
+    assert job.limit_use.tasks == 6
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -26,13 +26,20 @@
         record = JobRecord(msgspec.to_builtins(SPEC), "rig-1.1")
         self.item = Item("job/j-1", msgspec.to_builtins(record), 7)
         self.waiting: list[Deferred[Any]] = []
+        # Are lists of jobs held back, too?
+        self.slow_scans = False
 
     async def scan(self, prefix: str, *rest: Any) -> tuple[list[Item], int]:
         if prefix == "job/":
-            return [self.item], 9
-        done: Deferred[Any] = Deferred()
-        self.waiting.append(done)
-        await done
+            found = [self.item]
+            if self.slow_scans:
+                done: Deferred[Any] = Deferred()
+                self.waiting.append(done)
+                await done
+            return found, 9
+        held: Deferred[Any] = Deferred()
+        self.waiting.append(held)
+        await held
         return [], 9
 
     async def get(self, key: str, *rest: Any) -> Item | None:
@@ -68,3 +75,37 @@
     slow.waiting[0].callback(None)
     assert owner.jobs["j-1"].status == "withdrawn"
     assert not owner.jobs["j-1"].waiting(0.0, 1)
+
+
+def test_a_job_read_before_its_partition_is_ours_is_read_again() -> None:
+    """Its former owner may have written it since: bound elsewhere, or done."""
+    owner, slow = make()
+    slow.slow_scans = True
+    ensureDeferred(owner.load())
+    owner.session.learn("c/folio/rig-1.1", {"owner": "rig-1"}, 4)
+    newer = Item("job/j-1", {**slow.item.value, "t": {"b": [(0, 1, "host-1")]}}, 8)
+    # Lost and regained while the first reading is under way.
+    owner.session.learn("c/folio/rig-1.1", {"owner": "rig-0"}, 10)
+    slow.item = newer
+    ensureDeferred(owner.load())
+    for _ in range(4):
+        for held in slow.waiting[:]:
+            slow.waiting.remove(held)
+            held.callback(None)
+        if len(slow.waiting) == 1:
+            assert owner.loaded == set(), "only the second reading counts"
+    assert owner.loaded == {"rig-1.1"}
+    assert owner.jobs["j-1"].version == 8
+    assert owner.jobs["j-1"].bound == 1
+
+
+def test_a_partition_that_was_lost_meanwhile_is_not_marked_as_read() -> None:
+    owner, slow = make()
+    slow.slow_scans = True
+    ensureDeferred(owner.load())
+    owner.session.learn("c/folio/rig-1.1", {"owner": "rig-1"}, 4)
+    owner.session.learn("c/folio/rig-1.1", {"owner": "rig-0"}, 10)
+    while slow.waiting:
+        slow.waiting.pop().callback(None)
+    assert owner.loaded == set()
+    assert owner.jobs == {}
