--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -16,6 +15,7 @@
 
 from beamspar.control.job import Job
 from beamspar.control.session import Session
+from beamspar.control.share_policy import ShareRequest, desired_share, waits_before
 from beamspar.control.shares import EPS, NOTHING, Amounts, Share, TeamShares
 from beamspar.http import spawn
 from beamspar.settings import Settings
@@ -31,26 +31,11 @@
 
 log = Logger(namespace="budget")
 TEAM = "c/budget/"
-# Heartbeats that a wish lasts unless it is repeated.
-WISH_HEARTBEATS = 3
+# Heartbeats that a request lasts unless it is repeated.
+REQUEST_HEARTBEATS = 3
 Key = tuple[str, str]
 
 
-class Short(NamedTuple):
-    """Tasks of one job that wait for a share."""
-
-    rank: int
-    # The revision at which it was served last: at its rank the lowest is first.
-    served: int
-    cpus: float
-    gpus: float
-    tasks: int
-    # It lasts a few heartbeats unless repeated: a stale one would keep a share unused.
-    until: float
-    # All of these tasks start together, so less than all is of no use.
-    whole: bool
-
-
 class Doubt(NamedTuple):
     """A share that a write without an answer may have left us, on top of this version."""
 
@@ -59,17 +44,6 @@
     gpus: float
 
 
-class Grant(NamedTuple):
-    """What a partition is to have for its use and its wishes."""
-
-    need: Amounts
-    met: bool
-    # Of the highest work that waits: its rank (from 1), what it lacks, when it was served.
-    waiting_rank: int = 0
-    lacking: Amounts = NOTHING
-    served: int = 0
-
-
 class Budget:
     """Owns what the tasks of our partitions use, and writes the partitions' shares."""
 
@@ -83,12 +57,12 @@
         self.used: dict[Key, Amounts] = {}
         # Tasks of each job that are in `used`.
         self.counted: dict[Job, int] = {}
-        self.short: dict[Key, dict[str, Short]] = {}
+        self.requests: dict[Key, dict[str, ShareRequest]] = {}
         # The lowest of these holds until the record has moved on: then each write that was
         # made on top of an older version is in the mirror or can't be applied any more.
         self.doubts: dict[Key, list[Doubt]] = {}
-        self.busy: set[str] = set()
-        self.soon: set[str] = set()
+        self.writing: set[str] = set()
+        self.scheduled: set[str] = set()
         # What was said last of a record that is wrong, and of use above a share.
         self.complaints: dict[Key, str] = {}
         self.shares_read: dict[str, TeamShares] = {}
@@ -174,10 +148,10 @@
         """The partition has another owner now."""
         for job in [job for job in self.counted if job.partition == partition]:
             del self.counted[job]
-        for key in {*self.used, *self.short, *self.doubts}:
+        for key in {*self.used, *self.requests, *self.doubts}:
             if key[0] == partition:
                 self.used.pop(key, None)
-                self.short.pop(key, None)
+                self.requests.pop(key, None)
                 self.doubts.pop(key, None)
 
     def excess(self, partition: str, team: str) -> Amounts:
@@ -203,7 +177,7 @@
             return True
         return not self._wrong(team) and self.excess(partition, team) == NOTHING
 
-    # -- wishes
+    # -- requests
 
     def covers(self, job: Job, indexes: Sequence[int], whole: bool = False) -> bool:
         """Is there share for the first of these tasks, or for all that start together?
@@ -221,38 +195,40 @@
         cpus, gpus = used[0] + tasks * spec.cpus, used[1] + tasks * spec.gpus
         fits = _within(cpus, share[0], team.cpus_max) and _within(gpus, share[1], team.gpus_max)
         # What is freed for waiting higher work is not for lower work that asks first.
-        higher = any(wish.rank < spec.rank for wish in self.short.get(key, {}).values())
+        higher = any(request.rank < spec.rank for request in self.requests.get(key, {}).values())
         if fits and not higher and not self._others_first(team.name, job):
             return True
-        self._wish(job, job.extra_use(indexes), whole and len(indexes) > 1)
+        self._request(job, job.extra_use(indexes), whole and len(indexes) > 1)
         return False
 
-    def _wish(self, job: Job, tasks: int, whole: bool) -> None:
+    def _request(self, job: Job, tasks: int, whole: bool) -> None:
         """Ask for share for so many more tasks of the job."""
         if not tasks:
             # It has what it needs, and only waits its turn.
             return
         spec, key = job.spec, (job.partition, job.spec.team)
-        until = self.session.clock.seconds() + self.session.timing.heartbeat * WISH_HEARTBEATS
-        wishes = self.short.setdefault(key, {})
-        known = wishes.get(job.id)
+        until = self.session.clock.seconds() + self.session.timing.heartbeat * REQUEST_HEARTBEATS
+        requests = self.requests.setdefault(key, {})
+        known = requests.get(job.id)
         tasks = max(tasks, known.tasks) if known else tasks
-        wishes[job.id] = Short(spec.rank, job.served, spec.cpus, spec.gpus, tasks, until, whole)
-        self._soon(spec.team)
+        requests[job.id] = ShareRequest(
+            spec.rank, job.served, spec.cpus, spec.gpus, tasks, until, whole
+        )
+        self._schedule(spec.team)
 
     def take(self, job: Job, indexes: Sequence[int]) -> bool:
-        """May all of these tasks be bound now? Then the job's wish is less by so many."""
+        """May all of these tasks be bound now? Then the job's request is less by so many."""
         if not self.covers(job, indexes, whole=True):
             return False
         now = self.session.clock.seconds()
         if now - job.served_at >= self.session.timing.report:
             # Not for each task: every step is told in the team's record.
             job.served, job.served_at = self.session.revision, now
-        wishes = self.short.get((job.partition, job.spec.team), {})
-        if job.id in wishes:
-            wish = wishes.pop(job.id)
-            if wish.tasks > len(indexes):
-                wishes[job.id] = wish._replace(tasks=wish.tasks - len(indexes))
+        requests = self.requests.get((job.partition, job.spec.team), {})
+        if job.id in requests:
+            request = requests.pop(job.id)
+            if request.tasks > len(indexes):
+                requests[job.id] = request._replace(tasks=request.tasks - len(indexes))
         return True
 
     def wanted(self, job: Job) -> bool:
@@ -264,9 +240,9 @@
             return True
         return any(
             other != job.id
-            for (_, team), wishes in self.short.items()
+            for (_, team), requests in self.requests.items()
             if team == name
-            for other in wishes
+            for other in requests
         )
 
     def _others_first(self, name: str, job: Job) -> bool:
@@ -278,9 +254,7 @@
         if any(share.waiting_rank <= job.spec.rank for _, share in elsewhere):
             return True
         return any(
-            share.served is not None and _order(partition, share) < order
-            for partition, share in shares.entries.items()
-            if share.waiting_rank
+            waits_before(partition, share, order) for partition, share in shares.entries.items()
         )
 
     def yields(self, name: str, rank: int) -> Amounts:
@@ -312,48 +286,48 @@
                     doubts[:] = [doubt for doubt in doubts if doubt.version >= version]
                     if not doubts:
                         del self.doubts[held]
-            self._soon(name)
+            self._schedule(name)
 
-    def _soon(self, name: str) -> None:
-        """Look at a team's record once for all wishes of this turn: each look goes through
-        all of them, and after a restart hundreds of jobs wish at once."""
-        if name not in self.soon:
-            self.soon.add(name)
-            self.session.clock.callLater(0, self._look, name)
+    def _schedule(self, name: str) -> None:
+        """Look at a team's record once for all requests of this turn: each look goes through
+        all of them, and after a restart hundreds of jobs request at once."""
+        if name not in self.scheduled:
+            self.scheduled.add(name)
+            self.session.clock.callLater(0, self._check, name)
 
-    def _look(self, name: str) -> None:
-        self.soon.discard(name)
+    def _check(self, name: str) -> None:
+        self.scheduled.discard(name)
         if self._due(name):
-            self._start(name)
+            self._start_write(name)
 
     def tick(self) -> None:
         """Ask again for what is short, and give back what others wait for."""
         now = self.session.clock.seconds()
-        for key, wishes in list(self.short.items()):
-            for job in [j for j, wish in wishes.items() if wish.until < now]:
-                del wishes[job]
-            if not wishes:
-                del self.short[key]
+        for key, requests in list(self.requests.items()):
+            for job in [j for j, request in requests.items() if request.until < now]:
+                del requests[job]
+            if not requests:
+                del self.requests[key]
         for name in self.teams:
             self._inspect(name)
             if self._due(name):
-                self._start(name)
+                self._start_write(name)
 
     def _due(self, name: str) -> bool:
-        if self._in_doubt(name):
-            return True
         shares = self.shares(name)
         if not self._writable(shares):
             return False
-        return any(self._differs(name, partition, shares) for partition in self._concerned(name))
+        return self._in_doubt(name) or any(
+            self._differs(name, partition, shares) for partition in self._concerned(name)
+        )
 
     def _concerned(self, name: str) -> list[str]:
         """Our partitions that have or want a share of the team's limit."""
-        wishing = (partition for partition, team in self.short if team == name)
-        return sorted(p for p in {*self.shares(name).raw, *wishing} if self._ours(p))
+        requesting = (partition for partition, team in self.requests if team == name)
+        return sorted(p for p in {*self.shares(name).raw, *requesting} if self._ours(p))
 
     def _differs(self, name: str, partition: str, shares: TeamShares) -> bool:
-        share = self._share(name, partition, shares)
+        share = self._desired(name, partition, shares)
         if partition in shares.unreadable:
             return True
         return share != shares.entries.get(partition)
@@ -378,88 +352,25 @@
         """Is it known what all others have? Each owner mends its own entries."""
         return shares.readable and all(self._ours(name) for name in shares.unreadable)
 
-    # -- what a share should be
-
-    def _share(self, name: str, partition: str, shares: TeamShares) -> Share | None:
-        """What our partition's entry should be; None for no entry.
-
-        Nothing is given back while nobody wants for it, and all that lies unused as soon as
-        somebody does. It is never raised above what the others leave.
-        """
-        team, key = self.teams[name], (partition, name)
-        used, entry = self.used.get(key, NOTHING), shares.of(partition).amounts
-        if partition != self.session.partition and key not in self.short and max(used) <= EPS:
+    def _desired(self, name: str, partition: str, shares: TeamShares) -> Share | None:
+        """What our partition's entry should be; None for no entry."""
+        key = (partition, name)
+        used = self.used.get(key, NOTHING)
+        requests = list(self.requests.get(key, {}).values())
+        if partition != self.session.partition and not requests and max(used) <= EPS:
             # A former self's partition takes no new jobs: when nothing of it uses anything
             # its entry goes, or one more would stay with every restart.
             return None
-        room = shares.room(partition, team)
-        grant = self._grant(key, room, shares)
-        need = grant.need
-        if grant.met and not shares.waiting_elsewhere(partition):
-            need = self._with_slack(key, need, room, entry)
-        most = (max(room[0], entry[0]), max(room[1], entry[1]))
-        cpus = round(min(max(need[0], used[0]), most[0]), 6)
-        gpus = round(min(max(need[1], used[1]), most[1]), 6)
-        if grant.met:
-            return Share(cpus, gpus) if cpus or gpus else None
-        # Arrays start and end tasks all the time: a write for each would be too many.
-        highest = grant.waiting_rank == 1
-        said = [round(x, 3) if highest else _rounded(x) for x in grant.lacking]
-        return Share(cpus, gpus, grant.waiting_rank, said[0], said[1], grant.served)
-
-    def _with_slack(self, key: Key, need: Amounts, room: Amounts, entry: Amounts) -> Amounts:
-        """While there is plenty, some slack saves a write per task."""
-        team = self.teams[key[1]]
-        wishing = bool(self.short.get(key))
-        found = list(need)
-        for i, limit in enumerate((team.cpus_max, team.gpus_max)):
-            slack = max(room[i] - need[i], 0.0) / self.nodes / 2 if limit and wishing else 0.0
-            kept = min(entry[i], room[i]) if limit else 0.0
-            found[i] = max(need[i] + slack, kept)
-        return found[0], found[1]
-
-    def _grant(self, key: Key, room: Amounts, shares: TeamShares) -> Grant:
-        """The use and as much of the wishes as there is room for.
-
-        A wish that can't be met whole gets whole tasks: a part of a task is of no use here,
-        and may be elsewhere.
-        """
-        need = self.used.get(key, NOTHING)
-        met, first, served = True, 0, 0
-        lacking = NOTHING
-        for wish in sorted(self.short.get(key, {}).values()):
-            # What lower work has yielded is not for other lower work to take again, nor what
-            # others have left for those that wait longer.
-            last = self._after_others(wish, key[0], shares)
-            fit = 0 if last or (first and wish.whole) else _tasks_that_fit(wish, need, room)
-            need = (need[0] + fit * wish.cpus, need[1] + fit * wish.gpus)
-            if fit == wish.tasks:
-                continue
-            met = False
-            served = served if first else wish.served
-            first = first or wish.rank + 1
-            if first == wish.rank + 1:
-                left = wish.tasks - fit
-                lacking = (lacking[0] + left * wish.cpus, lacking[1] + left * wish.gpus)
-        return Grant(need, met, first, lacking, served)
-
-    def _after_others(self, wish: Short, partition: str, shares: TeamShares) -> bool:
-        """Does another partition's work come before this wish?"""
-        order = (wish.rank, wish.served, partition)
-        return any(
-            share.waiting_rank <= wish.rank
-            or (share.served is not None and _order(name, share) < order)
-            for name, share in shares.waiting_elsewhere(partition)
-        )
+        return desired_share(self.teams[name], partition, shares, used, requests, self.nodes)
 
     # -- writing
 
-    def _start(self, name: str) -> None:
-        if name not in self.busy and self.session.valid():
-            self.busy.add(name)
-            spawn(self._settle(name), f"budget {name}")
+    def _start_write(self, name: str) -> None:
+        if name not in self.writing and self.session.valid():
+            self.writing.add(name)
+            spawn(self._write(name), f"budget {name}")
 
-    async def _settle(self, name: str) -> None:
+    async def _write(self, name: str) -> None:
         """One compare-and-set of a team's record: our shares down or up to what we need."""
         before = shares = self.shares(name)
         partitions = self._concerned(name)
@@ -470,7 +381,7 @@
         moved = self._in_doubt(name)
         made: list[tuple[Key, Doubt]] = []
         for partition in sorted(partitions):
-            share = self._share(name, partition, shares)
+            share = self._desired(name, partition, shares)
             conditions.update(self.session.partition_fence(partition))
             shares = shares.with_share(partition, share)
             # Until the write is known, the lower of both shares holds, and of all before
@@ -489,9 +400,9 @@
         except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info("budget waits: {error}", error=error)
         finally:
-            self.busy.discard(name)
-        self._settled(made)
-        if changed and any(key[1] == name for key in self.short):
+            self.writing.discard(name)
+        self._resolve(made)
+        if changed and any(key[1] == name for key in self.requests):
             self.on_share()
 
     async def _store(self, name: str, conditions: dict[str, int], record: dict[str, Any]) -> None:
@@ -499,7 +410,7 @@
         self.session.learn(TEAM + name, record, revision)
         log.info("team {team}: shares {value}", team=name, value=record)
 
-    def _settled(self, made: list[tuple[Key, Doubt]]) -> None:
+    def _resolve(self, made: list[tuple[Key, Doubt]]) -> None:
         """What became of these writes is known."""
         for key, doubt in made:
             if doubt in self.doubts.get(key, ()):
@@ -508,23 +419,5 @@
                     del self.doubts[key]
 
 
-def _order(partition: str, share: Share) -> tuple[int, int, str]:
-    """Work that waits at a lower place in this order is served first."""
-    return share.waiting_rank - 1, share.served or 0, partition
-
-
-def _tasks_that_fit(wish: Short, need: Amounts, room: Amounts) -> int:
-    fit = wish.tasks
-    for size, left, taken in zip((wish.cpus, wish.gpus), room, need, strict=True):
-        if size > 0 and left < math.inf:
-            fit = min(fit, int((left - taken + EPS) / size))
-    return max(fit, 0)
-
-
-def _rounded(amount: float) -> float:
-    """The next power of two."""
-    return float(1 << math.ceil(math.log2(amount))) if amount > 1 else math.ceil(amount)
-
-
 def _within(amount: float, share: float, limit: float) -> bool:
     return not limit or amount <= share + EPS
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -242,7 +242,10 @@
 
     def use_changed(self, job: Job) -> None:
         """What of the job counts against its team's limit has changed."""
-        if self.budget is not None and self.budget.recount(job) < 0:
+        if self.budget is None or self.jobs.get(job.id) is not job:
+            # Over or another's by now: it was released as a whole.
+            return
+        if self.budget.recount(job) < 0:
             # There may be share now for what waits.
             self.pump()
 
@@ -275,14 +278,16 @@
     async def adopt(self, job_id: str) -> None:
         """Take a stored job of our partitions into memory that is not there."""
         self.reading += 1
+        tenures = self._tenures()
         try:
             item = await self.state.get(records.job_key(job_id), PLACE)
             if item is None or job_id in self.jobs or job_id in self.arriving:
                 return
             record = records.read_job(item)
-            if record.partition in self.partitions:
+            if self._still_ours(record.partition, tenures):
                 job = await self._restore(record, item.version)
-                if job_id not in self.arriving and self._keep(job):
+                ours = self._still_ours(record.partition, tenures)
+                if ours and job_id not in self.arriving and self._keep(job):
                     log.info("adopted {job}", job=job_id)
                     self.writer.flush(job)
                     self.pump()
@@ -513,7 +518,9 @@
         task = job.take(index)
         task.attempt = attempt or task.attempt + 1
         job.bind(index, machine)
-        self.use_changed(job)
+        if self.budget is not None:
+            # Also for a job that is being accepted, and not among ours yet.
+            self.budget.recount(job)
         task.stored, task.state = False, ""
         task.number, task.evict, task.yields = 0, evict, False
         job.dirty.add(index // job.per)
@@ -692,10 +699,19 @@
             if not any(self.budget.yields(team, len(PRIORITIES))):
                 continue
             jobs = [job for job in self.jobs.values() if job.spec.team == team]
-            lacking = functools.partial(self.budget.yields, team)
+            lacking = functools.partial(self._lacking, team, jobs)
             for unit in limit_yield.choose(jobs, self.spot, lacking):
                 self._stop_unit(unit, f"yields to higher work of {team}")
 
+    def _lacking(self, team: str, jobs: list[Job], rank: int) -> tuple[float, float]:
+        """What work of this rank should give up, less what is over and about to be stored so."""
+        cpus, gpus = self.budget.yields(team, rank)
+        for job in jobs:
+            released = job.limit_use.tasks - job.bound
+            cpus -= released * job.spec.cpus
+            gpus -= released * job.spec.gpus
+        return max(cpus, 0.0), max(gpus, 0.0)
+
     def _release_excess(self, now: float) -> None:
         """Let go of what is bound beyond a share and does not run.
 
