--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -14,11 +14,12 @@
 from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
-from beamspar.control import limit_yield, records
+from beamspar.control import limit_yield
 from beamspar.control.acceptor import Acceptor
 from beamspar.control.assignments import Assignments
 from beamspar.control.gang import Phase
 from beamspar.control.job import Job, Task
+from beamspar.control.job_loader import JobLoader
 from beamspar.control.job_writer import JobWriter
 from beamspar.control.limit_yield import Unit
 from beamspar.control.messages import (
@@ -30,17 +31,14 @@
     Placed,
     Status,
 )
-from beamspar.control.records import LIVE, WITHDRAWN, Chunk, JobRecord
+from beamspar.control.records import LIVE, WITHDRAWN
 from beamspar.control.session import PARTITION, Session
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import Preference, Room, choose, choose_group
 from beamspar.settings import Settings, Timing
 from beamspar.state import (
-    ACCEPT,
     CHORE,
-    PLACE,
     ConflictError,
-    Item,
     LeaseExpiredError,
     StateClient,
     StateUnavailableError,
@@ -73,9 +71,6 @@
         self.facts = settings.facts.state
         self.jobs: dict[str, Job] = {}
         self.partitions: set[str] = set()
-        # Reads of jobs under way, and jobs that ended meanwhile: what was read is older.
-        self.reading = 0
-        self.ended: set[str] = set()
         # Until all jobs of a partition are in memory, what its tasks use is not known.
         self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
@@ -93,6 +88,7 @@
         self.writer = JobWriter(clock, session, state, self.facts, timing, self)
         self.assignments = Assignments(clock, session, timing, self)
         self.acceptor = Acceptor(clock, session, state, timing, self)
+        self.loader = JobLoader(clock, session, state, self.facts, timing, self)
         session.listeners.append(self._changed)
 
     # -- jobs come and go
@@ -126,97 +122,10 @@
 
     async def load(self) -> None:
         """Read the jobs of our partitions that we don't have in memory yet."""
-        self.reading += 1
-        try:
-            await self._load()
-        finally:
-            self._read()
-
-    def _read(self) -> None:
-        self.reading -= 1
-        if not self.reading:
-            self.ended.clear()
-
-    async def _load(self) -> None:
-        while not self.session.lost:
-            # What is read of a partition that becomes ours only later may be older than the
-            # last writes of its former owner; another reading follows for that one.
-            tenures = self._tenures()
-            try:
-                items, _ = await self.state.scan("job/", ACCEPT)
-                for item in items:
-                    await self._load_job(item, tenures)
-            except StateUnavailableError as error:
-                log.info("reading jobs waits: {error}", error=error)
-                await sleep(self.clock, self.timing.retry)
-                continue
-            self.loaded |= {name for name in tenures if self._still_ours(name, tenures)}
-            log.info(
-                "{n} jobs of {partitions}", n=len(self.jobs), partitions=sorted(self.partitions)
-            )
-            self.assignments.repeat_all()
-            self.pump()
-            return
-
-    def _tenures(self) -> dict[str, int]:
-        """Our partitions, and the revision by which each is ours."""
-        known = self.session.partitions
-        return {name: known[name].since for name in self.partitions if name in known}
-
-    def _still_ours(self, partition: str, tenures: dict[str, int]) -> bool:
-        """Has the partition been ours all the time since then?"""
-        return partition in tenures and self._tenures().get(partition) == tenures[partition]
-
-    async def _load_job(self, item: Item, tenures: dict[str, int]) -> None:
-        record = records.read_job(item)
-        job_id = item.key.removeprefix("job/")
-        if job_id in self.jobs or not self._still_ours(record.partition, tenures):
-            return
-        job = await self._restore(record, item.version)
-        if self._still_ours(record.partition, tenures):
-            self._keep(job)
-
-    async def _restore(self, record: JobRecord, version: int) -> Job:
-        layout = records.layout_of(record, self.facts)
-        job = Job(records.read_spec(record), record.partition, layout, self.clock.seconds())
-        job.gang_wait_s = self.timing.gang_wait
-        job.version, job.status, job.stamp = version, record.status, record.stamp
-        job.served = version
-        chunks = {0: record.chunk}
-        if job.spec.tasks > layout.per:
-            items, _ = await self.state.scan(layout.prefix(job.id), ACCEPT)
-            for item in items:
-                number = layout.number(job.id, item.key)
-                if number is not None:
-                    chunks[number] = msgspec.convert(item.value, Chunk)
-                    job.chunk_versions[number] = item.version
-        for number, chunk in sorted(chunks.items()):
-            for low, high in chunk.done:
-                job.done.setdefault(number, set()).update(range(low, high + 1))
-                job.untouched = max(job.untouched, high + 1)
-            for index, attempt, machine in chunk.bound:
-                task = job.tasks[index] = Task(attempt)
-                job.bind(index, machine)
-                task.stored = True
-                job.untouched = max(job.untouched, index + 1)
-            for index, attempt in chunk.again:
-                job.tasks[index] = Task(attempt)
-                job.again.append(index)
-                job.untouched = max(job.untouched, index + 1)
-            job.limit_use.written(number, len(chunk.bound))
-        job.done_count = sum(len(d) for d in job.done.values())
-        # Below the mark all that is neither bound, done nor waiting again was never
-        # started: it waits with attempt 0.
-        for index in range(job.untouched):
-            if index not in job.tasks and not job.is_done(index):
-                job.tasks[index] = Task()
-                job.again.append(index)
-        return job
+        await self.loader.load()
 
-    def _keep(self, job: Job) -> bool:
-        """Count a restored job in, once; False when it is not ours to keep."""
-        if job.id in self.jobs or job.partition not in self.partitions or job.id in self.ended:
-            return False
+    def keep(self, job: Job) -> None:
+        """Count a restored job in."""
         self.jobs[job.id] = job
         for index, task in job.tasks.items():
             if task.machine is not None:
@@ -226,13 +135,17 @@
         if self.session.is_withdrawn(job.id):
             # Stored after what we read of it.
             self.apply_cancellation(job.id)
-        return True
+
+    def all_loaded(self) -> None:
+        """Jobs of more partitions are in memory: all holders should hear what is wanted."""
+        self.assignments.repeat_all()
+        self.pump()
 
     def forget(self, job: Job, ended: bool = False) -> None:
         """The job is over, or another's: nothing of it is ours to speak for."""
         self.jobs.pop(job.id, None)
-        if ended and self.reading:
-            self.ended.add(job.id)
+        if ended:
+            self.loader.ended_meanwhile(job.id)
         for index, task in job.tasks.items():
             if task.machine is not None:
                 self.take_off(task.machine, job, index)
@@ -277,24 +190,11 @@
 
     async def adopt(self, job_id: str) -> None:
         """Take a stored job of our partitions into memory that is not there."""
-        self.reading += 1
-        tenures = self._tenures()
-        try:
-            item = await self.state.get(records.job_key(job_id), PLACE)
-            if item is None or job_id in self.jobs or job_id in self.arriving:
-                return
-            record = records.read_job(item)
-            if self._still_ours(record.partition, tenures):
-                job = await self._restore(record, item.version)
-                ours = self._still_ours(record.partition, tenures)
-                if ours and job_id not in self.arriving and self._keep(job):
-                    log.info("adopted {job}", job=job_id)
-                    self.writer.flush(job)
-                    self.pump()
-        except StateUnavailableError as error:
-            log.info("adopting {job} waits: {error}", job=job_id, error=error)
-        finally:
-            self._read()
+        job = await self.loader.adopt(job_id)
+        if job is not None:
+            log.info("adopted {job}", job=job_id)
+            self.writer.flush(job)
+            self.pump()
 
     def apply_cancellation(self, job_id: str) -> None:
         """A withdrawal that somebody has stored: final, so it needs no read to be heeded."""
