--- /dev/null
+++ b/src/beamspar/control/held_machine.py
@@ -0,0 +1,103 @@
+"""What a holder knows of one machine, and of the start orders that it sent there."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from beamspar.control.messages import CLEAR, Want
+from beamspar.control.session import Machine
+from beamspar.placement import Room
+from beamspar.wire import TaskReport
+
+# A task and the number of its attempt.
+Key = tuple[str, int]
+
+
+class Start:
+    """A start order of ours: in which session and under which token, and whether one may
+    still be under way."""
+
+    __slots__ = ("answered", "doubt", "session", "token")
+
+    def __init__(self, session: int, token: int) -> None:
+        self.session = session
+        self.token = token
+        self.answered = False
+        self.doubt = False
+
+
+class HeldMachine:
+    """What the holder knows of one machine under one number."""
+
+    def __init__(self, info: Machine, number: int, now: float, answered: float) -> None:
+        self.info = info
+        self.number = number
+        # What our orders carry: the number, or what voids those of ours that are in doubt.
+        self.token = number
+        self.session = 0
+        self.seq = -1
+        self.report_seq = (0, -1)
+        self.fresh = False
+        self.tasks: dict[Key, TaskReport] = {}
+        self.starts: dict[Key, Start] = {}
+        self.over: dict[Key, str] = {}
+        self.wants: dict[Key, Want] = {}
+        self.unknown_since: dict[Key, float] = {}
+        # Those whose record is being asked for.
+        self.being_checked: set[Key] = set()
+        self.unwanted: set[Key] = set()
+        self.evicted: dict[Key, float] = {}
+        self.images: dict[str, float] = {}
+        # When somebody entitled may have answered its worker last.
+        self.last_answer = answered
+        # Its own reports only: one that can't reach us answers orders all the same.
+        self.reported_at = now
+        self.idle_since = now
+        self.min_session = 0
+        self.notice_s: float | None = None
+        self.lost = False
+        self.ordering = False
+        self.failed_orders = 0
+        self.next_order = now
+        self.errors: dict[str, float] = {}
+        self.sick_until = 0.0
+        self.bad = False
+        self.told: dict[Key, tuple[Any, ...]] = {}
+        self.partition_of: dict[Key, str] = {}
+        # Nothing is due here before something changes: the regular check passes it by.
+        self.calm = False
+        self.room: Room | None = None
+        self.changed = 0
+        self.was_silent = False
+        # The leader means to return it: it takes nothing new.
+        self.retiring = False
+
+    def touch(self) -> None:
+        """What it holds, wants or is has changed: its room is to be counted anew."""
+        self.room = None
+        self.calm = False
+
+    def unfetched(self, key: Key, want: Want) -> bool:
+        report = self.tasks.get(key)
+        if report is None:
+            return want.image not in self.images
+        return report.status == "fetching"
+
+    def in_doubt(self, key: Key) -> bool:
+        """May a start of ours still be under way that the worker would carry out?"""
+        start = self.starts.get(key)
+        return start is not None and start.doubt and not self.void(start)
+
+    def void(self, start: Start) -> bool:
+        """Has the worker told us that it takes no order as old as this one any more?"""
+        return self.fresh and start.token < self.token
+
+    def live(self, key: Key) -> bool:
+        """Does this attempt take room, now or as soon as it may?"""
+        if key in self.over:
+            return False
+        report = self.tasks.get(key)
+        if report is not None:
+            return report.status != "ended"
+        want = self.wants.get(key)
+        return want is not None and want.action != CLEAR
