--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -137,9 +137,9 @@
         owner.budget = budget
         budget.loaded = lambda: owner.loaded
         budget.on_share = owner.pump
-        owner.rooms, owner.ask = self._rooms, self._ask
+        owner.placer.rooms, owner.placer.ask = self._rooms, self._ask
         owner.assignments.send = self._send_syncs
-        owner.preference = leader.preference = self._preference
+        owner.placer.preference = leader.preference = self._preference
         leader.unreached = self.unreached.get
         holder.caches = self.caches
         holder.push = self._push
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -7,11 +7,8 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Callable
 from typing import Any
 
-import msgspec
-from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
 from beamspar.control import limit_yield
@@ -27,14 +24,12 @@
     GONE,
     KEPT,
     REFUSED,
-    Ask,
-    Placed,
     Status,
 )
+from beamspar.control.placer import Placer
 from beamspar.control.records import LIVE, WITHDRAWN
 from beamspar.control.session import PARTITION, Session
 from beamspar.http import Clock, sleep, spawn
-from beamspar.placement import Preference, Room, choose, choose_group
 from beamspar.settings import Settings, Timing
 from beamspar.state import (
     CHORE,
@@ -48,9 +43,6 @@
 
 log = Logger(namespace="owner")
 
-# Waiting jobs that are placed in one round.
-AT_ONCE = 64
-
 
 class Owner:
     """Owns the jobs of this controller's partitions."""
@@ -75,11 +67,6 @@
         self.loaded: set[str] = set()
         self.zones: dict[str, str] = {}
         self.spot: set[str] = set()
-        self.pumping = False
-        self.again = False
-        self.rooms: Callable[[], list[Room]] = lambda: []
-        self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
-        self.ask: Callable[[list[Ask]], Deferred[list[Placed] | None]] | None = None
         self.budget: Any = None
         self.dropping = False
         self.yielded_at = -1e9
@@ -88,6 +75,7 @@
         self.writer = JobWriter(clock, session, state, self.facts, timing, self)
         self.assignments = Assignments(clock, session, timing, self)
         self.acceptor = Acceptor(clock, session, state, timing, self)
+        self.placer = Placer(clock, session, timing, self)
         self.loader = JobLoader(clock, session, state, self.facts, timing, self)
         session.listeners.append(self._changed)
 
@@ -230,211 +218,16 @@
     # -- placing
 
     def pump(self) -> None:
-        """Place what waits; one round at a time."""
-        if self.pumping:
-            self.again = True
-            return
-        self.pumping = True
-        spawn(self._pump(), "placing")
-
-    async def _pump(self) -> None:
-        try:
-            now = self.clock.seconds()
-            jobs = [j for j in self.jobs.values() if j.waiting(now, 1)]
-            if jobs and self.session.valid():
-                jobs.sort(key=lambda j: (j.spec.rank, j.since))
-                part = self._first(jobs)
-                bound = sum(job.bound for job in part)
-                await self.place(part)
-                for job in jobs:
-                    self.writer.flush(job)
-                if len(part) < len(jobs) and sum(job.bound for job in part) > bound:
-                    # That found room, so there may be more for those behind.
-                    self.again = True
-        finally:
-            self.pumping = False
-            if self.again:
-                self.again = False
-                self.clock.callLater(self.timing.heartbeat / 10, self.pump)
-
-    def _first(self, jobs: list[Job]) -> list[Job]:
-        """Some of each shape, in order: many that find no room must not hold up the others."""
-        found: list[Job] = []
-        shapes: dict[tuple[Any, ...], int] = {}
-        for job in jobs:
-            spec = job.spec
-            kinds = tuple(spec.kinds or ())
-            shape = (spec.cpus, spec.gpus, spec.memory_gb, kinds, spec.zone, spec.spot, spec.team)
-            shapes[shape] = shapes.get(shape, 0) + 1
-            if shapes[shape] <= AT_ONCE // 4:
-                found.append(job)
-                if len(found) >= AT_ONCE:
-                    break
-        return found
+        """Place what waits."""
+        self.placer.pump()
 
     def zone_of(self, machine: str) -> str:
+        """The machine's zone, as far as it was ever in a block."""
         return self.zones.get(machine, "")
 
     async def place(self, jobs: list[Job]) -> None:
-        """Warm machines of ours, then by the leader's word, then cold ones of ours."""
-        if not self.session.valid():
-            return
-        now = self.clock.seconds()
-        rooms = self.rooms()
-        near = {room.name for room in rooms}
-        self._reserve(rooms)
-        asks = []
-        asked: list[Job] = []
-        for job in jobs:
-            # Our own blocks lie in few zones: what is to be spread asks the leader first,
-            # who knows the warm machines of all.
-            if not (job.spec.spread and self.ask):
-                self._fill(job, rooms, near, now, warm_only=True)
-            indexes = job.waiting(now, 200)
-            whole = job.spec.grouped and not job.bound
-            if indexes and (self.budget is None or self.budget.covers(job, indexes, whole)):
-                zones, machines = job.places(self.zone_of)
-                asks.append(
-                    Ask(
-                        msgspec.to_builtins(job.spec),
-                        len(indexes),
-                        zones,
-                        machines,
-                        sorted(self._avoid(job)),
-                        now - job.since,
-                    )
-                )
-                asked.append(job)
-        if not asks:
-            return
-        offers = await self.ask(asks) if self.ask else None
-        if not self.session.valid():
-            return
-        by_id = {job.id: job for job in asked}
-        # A service of one zone that has lost some of its tasks gets others for just these.
-        together = {job.id for job in asked if job.spec.grouped and not job.bound}
-        groups: dict[str, list[tuple[str, bool]]] = {}
-        for offer in offers or ():
-            if offer.job in together:
-                groups.setdefault(offer.job, []).append((offer.machine, offer.evict))
-        for name, places in groups.items():
-            self._bind_group(by_id[name], by_id[name].waiting(now, len(places)), places)
-        for offer in offers or ():
-            if offer.job in together:
-                continue
-            offered = by_id.get(offer.job)
-            indexes = offered.waiting(now, 1) if offered else []
-            if offered and indexes:
-                self._take_and_bind(offered, indexes[0], offer.machine, offer.evict)
-        rooms = self.rooms()
-        self._reserve(rooms)
-        for job in asked:
-            self._fill(job, rooms, near, now, warm_only=False)
-
-    def _avoid(self, job: Job) -> set[str]:
-        # A new attempt may go where the one before was.
-        found: set[str] = set(job.gang.left if job.bound else ())
-        for index in job.again:
-            found |= job.tasks[index].avoid
-        return found
-
-    def _reserve(self, rooms: list[Room]) -> None:
-        """Take off what we bound and the holder has not been told of yet."""
-        untold = self.assignments.untold
-        if not untold:
-            return
-        by_name = {room.name: room for room in rooms}
-        for job, task in untold.values():
-            if task.machine in by_name:
-                by_name[task.machine].take(job.spec)
-
-    def _fill(
-        self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
-    ) -> None:
-        if job.spec.grouped and not job.bound:
-            self._fill_group(job, rooms, near, now, warm_only)
-            return
-        indexes = job.waiting(now, 200)
-        if indexes and self.budget is not None and not self.budget.covers(job, indexes):
-            return
-        for index in indexes:
-            zones, machines = job.places(self.zone_of)
-            room = choose(
-                job.spec,
-                rooms,
-                zones,
-                machines,
-                self._avoid(job),
-                near,
-                warm_only,
-                self.preference(job.spec),
-            )
-            if room is None or not self._take_and_bind(job, index, room.name, False):
-                return
-            room.take(job.spec)
-
-    def _fill_group(
-        self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
-    ) -> None:
-        indexes = job.waiting(now, job.spec.tasks)
-        if len(indexes) + job.done_count < job.spec.tasks:
-            return
-        chosen = choose_group(
-            job.spec,
-            len(indexes),
-            rooms,
-            {},
-            {},
-            self._avoid(job),
-            near,
-            warm_only,
-            self.preference(job.spec),
-        )
-        self._bind_group(job, indexes, [(room.name, False) for room in chosen])
-        for room in chosen if job.bound else ():
-            room.take(job.spec)
-
-    def _bind_group(self, job: Job, indexes: list[int], places: list[tuple[str, bool]]) -> None:
-        """Bind all or none."""
-        if len(places) < len(indexes):
-            return
-        if self.budget is not None and not self.budget.take(job, indexes):
-            return
-        for index, (machine, evict) in zip(indexes, places, strict=False):
-            self._bind(job, index, machine, evict)
-
-    def _take_and_bind(self, job: Job, index: int, machine: str, evict: bool) -> bool:
-        """Bind a waiting task if the team's share covers it."""
-        if self.budget is not None and not self.budget.take(job, [index]):
-            return False
-        self._bind(job, index, machine, evict)
-        return True
-
-    def _bind(self, job: Job, index: int, machine: str, evict: bool) -> None:
-        """Bind a waiting task; the start waits until this is stored."""
-        attempt = job.next_attempt if job.spec.is_gang else None
-        if job.spec.is_gang and not job.bound:
-            job.gang.begin()
-        task = job.take(index)
-        task.attempt = attempt or task.attempt + 1
-        job.bind(index, machine)
-        if self.budget is not None:
-            # Also for a job that is being accepted, and not among ours yet.
-            self.budget.recount(job)
-        task.stored, task.state = False, ""
-        task.number, task.evict, task.yields = 0, evict, False
-        job.dirty.add(index // job.per)
-        if job.spec.is_gang and job.bound + job.done_count == job.spec.tasks:
-            job.gang.completed()
-        self.assignments.place_on(machine, job, index, task)
-        self.assignments.untold[(job.id, index)] = (job, task)
-        log.info(
-            "{job}/{index} try {attempt} to {machine}",
-            job=job.id,
-            index=index,
-            attempt=task.attempt,
-            machine=machine,
-        )
+        """Bind what can be bound now of these jobs."""
+        await self.placer.place(jobs)
 
     def _unbind(self, job: Job, index: int, task: Task) -> None:
         if task.machine is not None:
--- /dev/null
+++ b/src/beamspar/control/placer.py
@@ -0,0 +1,271 @@
+"""Places the waiting tasks of an owner's jobs: warm machines with room first, then any.
+
+A task is bound in memory here and started only after its job's record is stored. Gangs, and
+services that must share a zone, are bound whole or not at all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.logger import Logger
+
+from beamspar.control.assignments import Assignments
+from beamspar.control.job import Job
+from beamspar.control.job_writer import JobWriter
+from beamspar.control.messages import Ask, Placed
+from beamspar.control.session import Session
+from beamspar.http import Clock, spawn
+from beamspar.placement import Preference, Room, choose, choose_group
+from beamspar.settings import Timing
+from beamspar.wire import Spec
+
+log = Logger(namespace="owner")
+
+# Waiting jobs that are placed in one round, and tasks of one job.
+JOBS_AT_ONCE = 64
+TASKS_AT_ONCE = 200
+
+
+class JobBook(Protocol):
+    """Whose jobs are placed."""
+
+    jobs: dict[str, Job]
+    writer: JobWriter
+    assignments: Assignments
+    budget: Any
+
+    def zone_of(self, machine: str) -> str:
+        """The machine's zone."""
+
+
+class Placer:
+    """Owns the rounds of placing, one at a time."""
+
+    def __init__(self, clock: Clock, session: Session, timing: Timing, book: JobBook) -> None:
+        self.clock = clock
+        self.session = session
+        self.timing = timing
+        self.book = book
+        self.pumping = False
+        self.again = False
+        # Room on machines that this controller holds; what a job prefers; the leader's offers.
+        self.rooms: Callable[[], list[Room]] = lambda: []
+        self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
+        self.ask: Callable[[list[Ask]], Deferred[list[Placed] | None]] | None = None
+
+    def pump(self) -> None:
+        """Place what waits; one round at a time."""
+        if self.pumping:
+            self.again = True
+            return
+        self.pumping = True
+        spawn(self._pump(), "placing")
+
+    async def _pump(self) -> None:
+        try:
+            now = self.clock.seconds()
+            jobs = [j for j in self.book.jobs.values() if j.waiting(now, 1)]
+            if jobs and self.session.valid():
+                jobs.sort(key=lambda j: (j.spec.rank, j.since))
+                part = self._first(jobs)
+                bound = sum(job.bound for job in part)
+                await self.place(part)
+                for job in jobs:
+                    self.book.writer.flush(job)
+                if len(part) < len(jobs) and sum(job.bound for job in part) > bound:
+                    # That found room, so there may be more for those behind.
+                    self.again = True
+        finally:
+            self.pumping = False
+            if self.again:
+                self.again = False
+                self.clock.callLater(self.timing.heartbeat / 10, self.pump)
+
+    def _first(self, jobs: list[Job]) -> list[Job]:
+        """Some of each shape, in order: many that find no room must not hold up the others."""
+        found: list[Job] = []
+        shapes: dict[tuple[Any, ...], int] = {}
+        for job in jobs:
+            spec = job.spec
+            kinds = tuple(spec.kinds or ())
+            shape = (spec.cpus, spec.gpus, spec.memory_gb, kinds, spec.zone, spec.spot, spec.team)
+            shapes[shape] = shapes.get(shape, 0) + 1
+            if shapes[shape] <= JOBS_AT_ONCE // 4:
+                found.append(job)
+                if len(found) >= JOBS_AT_ONCE:
+                    break
+        return found
+
+    async def place(self, jobs: list[Job]) -> None:
+        """Warm machines of ours, then by the leader's word, then cold ones of ours."""
+        if not self.session.valid():
+            return
+        now = self.clock.seconds()
+        rooms = self.rooms()
+        near = {room.name for room in rooms}
+        self._reserve(rooms)
+        asks = self._asks(jobs, rooms, near, now)
+        if not asks:
+            return
+        asked = [job for job, _ in asks]
+        offers = await self.ask([ask for _, ask in asks]) if self.ask else None
+        if not self.session.valid():
+            return
+        self._bind_offers(asked, offers or [], now)
+        rooms = self.rooms()
+        self._reserve(rooms)
+        for job in asked:
+            self._fill(job, rooms, near, now, warm_only=False)
+
+    def _asks(
+        self, jobs: list[Job], rooms: list[Room], near: set[str], now: float
+    ) -> list[tuple[Job, Ask]]:
+        """Bind on our own warm machines; the leader is asked for what is left and covered."""
+        asks: list[tuple[Job, Ask]] = []
+        for job in jobs:
+            # Our own blocks lie in few zones: what is to be spread asks the leader first,
+            # who knows the warm machines of all.
+            if not (job.spec.spread and self.ask):
+                self._fill(job, rooms, near, now, warm_only=True)
+            indexes = job.waiting(now, TASKS_AT_ONCE)
+            whole = job.spec.grouped and not job.bound
+            if not indexes or not self._covers(job, indexes, whole):
+                continue
+            zones, machines = job.places(self.book.zone_of)
+            spec = msgspec.to_builtins(job.spec)
+            avoid = sorted(self._avoid(job))
+            asks.append((job, Ask(spec, len(indexes), zones, machines, avoid, now - job.since)))
+        return asks
+
+    def _covers(self, job: Job, indexes: list[int], whole: bool = False) -> bool:
+        """Is there share of the team's limit for the first of these, or for all?"""
+        budget = self.book.budget
+        return budget is None or bool(budget.covers(job, indexes, whole))
+
+    def _bind_offers(self, asked: list[Job], offers: list[Placed], now: float) -> None:
+        """Bind where the leader says that there is room."""
+        by_id = {job.id: job for job in asked}
+        # A service of one zone that has lost some of its tasks gets others for just these.
+        together = {job.id for job in asked if job.spec.grouped and not job.bound}
+        groups: dict[str, list[tuple[str, bool]]] = {}
+        for offer in offers:
+            if offer.job in together:
+                groups.setdefault(offer.job, []).append((offer.machine, offer.evict))
+        for name, places in groups.items():
+            self._bind_group(by_id[name], by_id[name].waiting(now, len(places)), places)
+        for offer in offers:
+            if offer.job in together:
+                continue
+            offered = by_id.get(offer.job)
+            indexes = offered.waiting(now, 1) if offered else []
+            if offered and indexes:
+                self._take_and_bind(offered, indexes[0], offer.machine, offer.evict)
+
+    def _avoid(self, job: Job) -> set[str]:
+        # A new attempt may go where the one before was.
+        found: set[str] = set(job.gang.left if job.bound else ())
+        for index in job.again:
+            found |= job.tasks[index].avoid
+        return found
+
+    def _reserve(self, rooms: list[Room]) -> None:
+        """Take off what we bound and the holder has not been told of yet."""
+        untold = self.book.assignments.untold
+        if not untold:
+            return
+        by_name = {room.name: room for room in rooms}
+        for job, task in untold.values():
+            if task.machine in by_name:
+                by_name[task.machine].take(job.spec)
+
+    def _fill(
+        self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
+    ) -> None:
+        if job.spec.grouped and not job.bound:
+            self._fill_group(job, rooms, near, now, warm_only)
+            return
+        indexes = job.waiting(now, TASKS_AT_ONCE)
+        if indexes and not self._covers(job, indexes):
+            return
+        for index in indexes:
+            zones, machines = job.places(self.book.zone_of)
+            room = choose(
+                job.spec,
+                rooms,
+                zones,
+                machines,
+                self._avoid(job),
+                near,
+                warm_only,
+                self.preference(job.spec),
+            )
+            if room is None or not self._take_and_bind(job, index, room.name, False):
+                return
+            room.take(job.spec)
+
+    def _fill_group(
+        self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
+    ) -> None:
+        indexes = job.waiting(now, job.spec.tasks)
+        if len(indexes) + job.done_count < job.spec.tasks:
+            return
+        chosen = choose_group(
+            job.spec,
+            len(indexes),
+            rooms,
+            {},
+            {},
+            self._avoid(job),
+            near,
+            warm_only,
+            self.preference(job.spec),
+        )
+        self._bind_group(job, indexes, [(room.name, False) for room in chosen])
+        for room in chosen if job.bound else ():
+            room.take(job.spec)
+
+    def _bind_group(self, job: Job, indexes: list[int], places: list[tuple[str, bool]]) -> None:
+        """Bind all or none."""
+        if len(places) < len(indexes):
+            return
+        if self.book.budget is not None and not self.book.budget.take(job, indexes):
+            return
+        for index, (machine, evict) in zip(indexes, places, strict=False):
+            self._bind(job, index, machine, evict)
+
+    def _take_and_bind(self, job: Job, index: int, machine: str, evict: bool) -> bool:
+        """Bind a waiting task if the team's share covers it."""
+        if self.book.budget is not None and not self.book.budget.take(job, [index]):
+            return False
+        self._bind(job, index, machine, evict)
+        return True
+
+    def _bind(self, job: Job, index: int, machine: str, evict: bool) -> None:
+        """Bind a waiting task; the start waits until this is stored."""
+        attempt = job.next_attempt if job.spec.is_gang else None
+        if job.spec.is_gang and not job.bound:
+            job.gang.begin()
+        task = job.take(index)
+        task.attempt = attempt or task.attempt + 1
+        job.bind(index, machine)
+        if self.book.budget is not None:
+            # Also for a job that is being accepted, and not among ours yet.
+            self.book.budget.recount(job)
+        task.stored, task.state = False, ""
+        task.number, task.evict, task.yields = 0, evict, False
+        job.dirty.add(index // job.per)
+        if job.spec.is_gang and job.bound + job.done_count == job.spec.tasks:
+            job.gang.completed()
+        self.book.assignments.place_on(machine, job, index, task)
+        self.book.assignments.untold[(job.id, index)] = (job, task)
+        log.info(
+            "{job}/{index} try {attempt} to {machine}",
+            job=job.id,
+            index=index,
+            attempt=task.attempt,
+            machine=machine,
+        )
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -59,7 +59,7 @@
     session._caught_up(5)
     owner.loaded = {"rig-0.1"}
     room = Room("m-1", "small", "east", False, 8.0, 0.0, 64.0)
-    owner.rooms = lambda: [room]
+    owner.placer.rooms = lambda: [room]
     # The session is kept valid by hand.
     session.valid = lambda: True  # type: ignore[method-assign]
     return owner, store, clock
