--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -170,6 +170,10 @@
     where = f"at {step['at']}"
     if "running" in step:
         assert world.running(step["job"]) == step["running"], (where, step)
+    if "bound" in step:
+        # By its stored record, whether or not it runs.
+        record = world.state.items[f"job/{step['job']}"][0]
+        assert len(record["t"]["b"]) == step["bound"], (where, step, record["t"])
     if "started" in step:
         assert world.checker.starts.get(step["job"]) == step["started"], (where, step)
     if "largest_kb" in step:
