--- a/src/beamspar/control/budget.py
+++ b/src/beamspar/control/budget.py
@@ -33,6 +33,8 @@
 TEAM = "c/budget/"
 # Heartbeats that a request lasts unless it is repeated.
 REQUEST_HEARTBEATS = 3
+# Below every rank of work.
+LOWEST = 99
 Key = tuple[str, str]
 
 
@@ -58,6 +60,8 @@
         # Tasks of each job that are in `used`.
         self.counted: dict[Job, int] = {}
         self.requests: dict[Key, dict[str, ShareRequest]] = {}
+        # The highest rank (from 0) among the requests, where it is known.
+        self.highest: dict[Key, int] = {}
         # The lowest of these holds until the record has moved on: then each write that was
         # made on top of an older version is in the mirror or can't be applied any more.
         self.doubts: dict[Key, list[Doubt]] = {}
@@ -66,6 +70,8 @@
         # What was said last of a record that is wrong, and of use above a share.
         self.complaints: dict[Key, str] = {}
         self.shares_read: dict[str, TeamShares] = {}
+        # Teams whose record as it was read last lets nothing more start.
+        self.stopped: set[str] = set()
         self.loaded: Callable[[], set[str]] = set
         self.on_share: Callable[[], None] = lambda: None
         session.listeners.append(self._changed)
@@ -78,13 +84,16 @@
         known = self.shares_read.get(team)
         if known is None or known.version != version:
             known = self.shares_read[team] = TeamShares(value, version)
+            (self.stopped.add if self._wrong(known, team) else self.stopped.discard)(team)
         return known
 
     def share(self, partition: str, team: str) -> Amounts:
         """What the partition may use for certain, whatever became of writes in doubt."""
-        shares = self.shares(team)
-        cpus, gpus = shares.of(partition).amounts
-        for doubt in self.doubts.get((partition, team), ()):
+        return self._certain((partition, team), self.shares(team))
+
+    def _certain(self, key: Key, shares: TeamShares) -> Amounts:
+        cpus, gpus = shares.of(key[0]).amounts
+        for doubt in self.doubts.get(key, ()):
             if doubt.version == shares.version:
                 cpus, gpus = min(cpus, doubt.cpus), min(gpus, doubt.gpus)
         return cpus, gpus
@@ -93,18 +102,22 @@
         """Is the partition in no team's record, so that it may be forgotten?"""
         return not any(partition in self.shares(name).raw for name in self.teams)
 
-    def _wrong(self, name: str) -> bool:
+    def _wrong(self, shares: TeamShares, name: str) -> bool:
         """Is the team's record such that nothing more of the team may start?"""
-        shares = self.shares(name)
         unreadable = not shares.readable or bool(shares.unreadable)
         return unreadable or shares.exceeds(self.teams[name])
 
+    def _stops(self, name: str) -> bool:
+        """Does the present record let nothing more of the team start?"""
+        self.shares(name)
+        return name in self.stopped
+
     def _inspect(self, name: str) -> None:
         """Say what is wrong with the team's record."""
         shares, team = self.shares(name), self.teams[name]
         unknown = sorted(shares.entries.keys() - self.session.partitions.keys())
         what = ""
-        if unknown or self._wrong(name):
+        if unknown or self._wrong(shares, name):
             # An unknown partition's share counts: its tasks can't be proven gone.
             limits = (team.cpus_max, team.gpus_max)
             what = (
@@ -152,6 +165,7 @@
             if key[0] == partition:
                 self.used.pop(key, None)
                 self.requests.pop(key, None)
+                self.highest.pop(key, None)
                 self.doubts.pop(key, None)
 
     def excess(self, partition: str, team: str) -> Amounts:
@@ -175,7 +189,7 @@
         """May what is bound there be started, or started once more?"""
         if team not in self.teams:
             return True
-        return not self._wrong(team) and self.excess(partition, team) == NOTHING
+        return not self._stops(team) and self.excess(partition, team) == NOTHING
 
     # -- requests
 
@@ -187,16 +201,16 @@
         team = self.teams.get(job.spec.team)
         if team is None:
             return True
-        if not self._ours(job.partition) or self._wrong(team.name):
+        shares = self.shares(team.name)
+        if team.name in self.stopped or not self._ours(job.partition):
             return False
         spec, key = job.spec, (job.partition, team.name)
         tasks = job.extra_use(indexes if whole else indexes[:1])
-        used, share = self.used.get(key, NOTHING), self.share(*key)
+        used, share = self.used.get(key, NOTHING), self._certain(key, shares)
         cpus, gpus = used[0] + tasks * spec.cpus, used[1] + tasks * spec.gpus
         fits = _within(cpus, share[0], team.cpus_max) and _within(gpus, share[1], team.gpus_max)
         # What is freed for waiting higher work is not for lower work that asks first.
-        higher = any(request.rank < spec.rank for request in self.requests.get(key, {}).values())
-        if fits and not higher and not self._others_first(team.name, job):
+        if fits and self._highest(key) >= spec.rank and not self._others_first(shares, job):
             return True
         self._request(job, job.extra_use(indexes), whole and len(indexes) > 1)
         return False
@@ -207,15 +221,29 @@
             # It has what it needs, and only waits its turn.
             return
         spec, key = job.spec, (job.partition, job.spec.team)
-        until = self.session.clock.seconds() + self.session.timing.heartbeat * REQUEST_HEARTBEATS
+        heartbeat, now = self.session.timing.heartbeat, self.session.clock.seconds()
+        until = now + heartbeat * REQUEST_HEARTBEATS
         requests = self.requests.setdefault(key, {})
         known = requests.get(job.id)
+        if known and known.tasks >= tasks and known.until > until - heartbeat / 2:
+            # Each round of placing asks again for all that waits.
+            self._schedule(spec.team)
+            return
         tasks = max(tasks, known.tasks) if known else tasks
         requests[job.id] = ShareRequest(
             spec.rank, job.served, spec.cpus, spec.gpus, tasks, until, whole
         )
+        self.highest[key] = min(spec.rank, self._highest(key))
         self._schedule(spec.team)
 
+    def _highest(self, key: Key) -> int:
+        """The highest rank (from 0) among the requests of a partition."""
+        known = self.highest.get(key)
+        if known is None:
+            ranks = [request.rank for request in self.requests.get(key, {}).values()]
+            known = self.highest[key] = min(ranks, default=LOWEST)
+        return known
+
     def take(self, job: Job, indexes: Sequence[int]) -> bool:
         """May all of these tasks be bound now? Then the job's request is less by so many."""
         if not self.covers(job, indexes, whole=True):
@@ -227,10 +255,15 @@
         requests = self.requests.get((job.partition, job.spec.team), {})
         if job.id in requests:
             request = requests.pop(job.id)
+            self.highest.pop((job.partition, job.spec.team), None)
             if request.tasks > len(indexes):
                 requests[job.id] = request._replace(tasks=request.tasks - len(indexes))
         return True
 
+    def requested(self, partition: str, team: str) -> bool:
+        """Does work of the partition wait for a share of the team's limit?"""
+        return bool(self.requests.get((partition, team)))
+
     def wanted(self, job: Job) -> bool:
         """Does other work wait for a share of the job's team?"""
         name = job.spec.team
@@ -245,11 +278,10 @@
             for other in requests
         )
 
-    def _others_first(self, name: str, job: Job) -> bool:
+    def _others_first(self, shares: TeamShares, job: Job) -> bool:
         """Does some partition say that it can't start higher work, or work of the same rank
         that has waited longer? What ends here is for that then. Our own may say the latter."""
         order = (job.spec.rank, job.served, job.partition)
-        shares = self.shares(name)
         elsewhere = shares.waiting_elsewhere(job.partition)
         if any(share.waiting_rank <= job.spec.rank for _, share in elsewhere):
             return True
@@ -306,6 +338,7 @@
         for key, requests in list(self.requests.items()):
             for job in [j for j, request in requests.items() if request.until < now]:
                 del requests[job]
+                self.highest.pop(key, None)
             if not requests:
                 del self.requests[key]
         for name in self.teams:
--- a/src/beamspar/control/limit_use.py
+++ b/src/beamspar/control/limit_use.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 
 class LimitUse:
@@ -20,6 +20,8 @@
         # Tasks bound in memory, and the most that a stored chunk may bind, by chunk.
         self._bound: Counter[int] = Counter()
         self._stored: dict[int, int] = {}
+        # Chunks whose stored record binds more: so many more may be bound there at no cost.
+        self.spare: dict[int, int] = {}
         self._tasks = 0
         # While the records are rewritten in another layout: what counted before that.
         self._before_layout = 0
@@ -34,14 +36,13 @@
         """Is it not known yet what each chunk of the present layout binds?"""
         return self._before_layout > 0
 
-    def extra(self, chunks: Iterable[int]) -> int:
+    def extra(self, chunks: Collection[int]) -> int:
         """How many more tasks count once a task is bound in each of these chunks."""
-        added = 0
-        for chunk, count in Counter(chunks).items():
-            bound = self._bound[chunk]
-            stored = self._stored.get(chunk, 0)
-            added += max(bound + count, stored) - max(bound, stored)
-        return added
+        if not self.spare:
+            return len(chunks)
+        return sum(
+            max(count - self.spare.get(chunk, 0), 0) for chunk, count in Counter(chunks).items()
+        )
 
     def bind(self, chunk: int) -> None:
         """A task of the chunk is bound in memory."""
@@ -69,6 +70,7 @@
         self._before_layout = self.tasks
         self._bound = Counter(bound_in)
         self._stored = {}
+        self.spare = {}
         self._tasks = self._bound.total()
 
     def settle(self) -> None:
@@ -80,3 +82,7 @@
         self._bound[chunk] = bound
         self._stored[chunk] = stored
         self._tasks += max(bound, stored) - before
+        if stored > bound:
+            self.spare[chunk] = stored - bound
+        else:
+            self.spare.pop(chunk, None)
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -146,7 +146,7 @@
         if self.budget is None or self.jobs.get(job.id) is not job:
             # Over or another's by now: it was released as a whole.
             return
-        if self.budget.recount(job) < 0:
+        if self.budget.recount(job) < 0 and self.budget.requested(job.partition, job.spec.team):
             # There may be share now for what waits.
             self.pump()
 
--- a/tests/test_limit_use.py
+++ b/tests/test_limit_use.py
@@ -55,8 +55,9 @@
         job.take(index)
         job.bind(index, "host-1")
     job.limit_use.written(0, job.limit_use.writing(0))
-    job.unbind(0)
-    job.unbind(1)
+    for index in (0, 1):
+        job.unbind(index)
+        job.again.append(index)
     job.relayout(Layout(2))
     assert job.limit_use.tasks == 8
     for chunk in range(4):
@@ -65,3 +66,4 @@
         assert job.waiting(0.0, 8) == [], "nothing is bound meanwhile"
     job.limit_use.settle()
     assert job.limit_use.tasks == 6
+    assert job.waiting(0.0, 8) == [0, 1]
