--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -161,7 +161,10 @@
 
     def extra_use(self, indexes: Sequence[int]) -> int:
         """How many more tasks count against the limit once these are bound."""
-        return self.limit_use.extra(index // self.per for index in indexes)
+        if not self.limit_use.spare:
+            return len(indexes)
+        per = self.per
+        return self.limit_use.extra([index // per for index in indexes])
 
     def places(self, zone_of: Callable[[str], str]) -> tuple[dict[str, int], dict[str, int]]:
         """Where the job's tasks are or may be: zones and machines with counts."""
