--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,64 @@
+"""Registration while the leader leases, with the state service scripted."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+
+from beamspar.control.holder import Holder
+from beamspar.control.session import Machine, Session, block_record
+from beamspar.settings import Timing, Tuning
+from beamspar.state import Item
+from beamspar.workers import WorkerClient
+from tests.standins.clock import SimClock
+from tests.test_budget import settings
+
+FENCE = "c/fence/rig-0"
+
+
+class Store:
+    """A block is leased to us after our fence was written and before the keys are read again."""
+
+    def __init__(self) -> None:
+        self.items: list[Item] = []
+
+    async def grant(self, life_s: float) -> int:
+        return 1
+
+    async def scan(self, prefix: str, *rest: Any) -> tuple[list[Item], int]:
+        return self.items, 12
+
+    async def multi(self, conditions: Any, changes: Any, *rest: Any) -> int:
+        machine = Machine("m-1", "m-1:9", "small", "east")
+        self.items = [
+            Item("c/block/m-1", block_record("rig-0", [machine]), 12),
+            Item(FENCE, {"inc": 1, "v": 2}, 10),
+        ]
+        return 10
+
+
+class Net:
+    """Nothing is answered."""
+
+    async def request(self, *call: Any) -> Any:
+        raise AssertionError("no call is expected before the session has started")
+
+
+def test_a_block_that_is_leased_while_its_holder_registers_is_held() -> None:
+    clock, store = SimClock(), Store()
+    timing = Timing(settings(), Tuning())
+    session = Session(clock, store, settings(), timing)  # type: ignore[arg-type]
+    holder = Holder(
+        clock,
+        session,
+        WorkerClient(Net(), timing.order),  # type: ignore[arg-type]
+        timing,
+        lambda: {},
+        lambda task, attempt, machine: None,
+    )
+    done: list[bool] = []
+    ensureDeferred(session._register()).addCallback(done.append)
+    assert done == [True]
+    assert session.holder_of("m-1") == ("rig-0", 12)
+    assert set(holder.machines) == {"m-1"}, "else nobody ever answers its worker"
