--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -338,10 +338,17 @@
         return self.values.get(f"c/fence/{member}", (None, 0))[1]
 
     def _renumber(self, member: str) -> None:
-        """A new incarnation, or a fence by the leader: its blocks have a higher number."""
+        """A new incarnation, or a fence by the leader: its blocks have a higher number.
+
+        Our own blocks are told of even where the number stays: a block that was leased between
+        our registration and the reading after it is read before our fence, and nobody could
+        hold it then.
+        """
         for name, block in self.blocks.items():
+            if block.holder != member:
+                continue
             number = max(block.base, self._fence_of(member))
-            if block.holder == member and number != block.number:
+            if number != block.number or member == self.me:
                 block.number = number
                 for listener in self.listeners:
                     listener(f"c/block/{name}")
