--- a/src/beamspar/cli.py
+++ b/src/beamspar/cli.py
@@ -41,13 +41,15 @@
 
 def serve(settings: Settings, tuning: Tuning) -> None:
     """Run one controller until it is killed."""
+    import gc
     import random
 
-    from beamspar.http import RealNet, Sockets, spawn, steady_reactor
+    from beamspar.tcp import RealNet, steady_reactor
 
     reactor: Any = steady_reactor()
 
     from beamspar.control.node import Node
+    from beamspar.http import Sockets, spawn
     from beamspar.settings import Timing
 
     start_log(os.environ.get("LOG_LEVEL", "info"))
@@ -56,6 +58,9 @@
     net = RealNet(reactor, timing.call, timing.keep_open, sockets)
     node = Node(reactor, net, settings, tuning, random.Random())
     reactor.callWhenRunning(spawn, node.start(), "start")
+    # What is loaded by now stays: the collector need not look at it again and again.
+    gc.freeze()
+    gc.enable()
     reactor.run()
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,7 +8,8 @@
 from twisted.internet import reactor as installed
 from twisted.internet.threads import deferToThread
 
-from beamspar.http import LASTING, Answer, Call, RealNet, Sockets
+from beamspar.http import LASTING, Answer, Call, Sockets, spawn
+from beamspar.tcp import RealNet
 
 MOST = 10
 BODY = b"answered"
@@ -56,7 +57,7 @@
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
         net = RealNet(loop, 5.0, 60.0, Sockets.of(100, 3))
-        net.listen(f"127.0.0.1:{port}", handler, MOST, 1024)
+        spawn(net.listen(f"127.0.0.1:{port}", handler, MOST, 1024), "listening")
         work = deferToThread(visit, port)
         work.addCallbacks(found.append, lambda f: failed.append(f.getTraceback()))
         work.addBoth(lambda _: loop.stop())
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,238 @@
+"""The HTTP client's protocol, byte by byte: what ends a response, and what becomes of others."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from beamspar.http import Answer, CallFailedError, Sockets
+from beamspar.http_client import MOST_IDLE
+from beamspar.tcp import RealNet
+
+ADDRESS = "10.0.0.1:80"
+LIMIT_S = 1.5
+IDLE_S = 15.0
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody"
+
+
+class Peer:
+    """The far end of everything that the client opens."""
+
+    def __init__(self) -> None:
+        self.reactor = MemoryReactorClock()
+        self.net = RealNet(self.reactor, 1.0, IDLE_S, Sockets.of(100, 3))
+        self.opened: list[tuple[Any, StringTransport]] = []
+
+    def call(self, path: str = "/multi") -> list[Any]:
+        """Start a call; its answer or failure comes to the list."""
+        result: list[Any] = []
+        self.net.request("POST", ADDRESS, path, b"data", LIMIT_S).addBoth(result.append)
+        return result
+
+    def open(self) -> tuple[Any, StringTransport]:
+        """Let the latest connection open."""
+        *_, factory, _, _ = self.reactor.tcpClients[-1]
+        protocol, transport = factory.buildProtocol(None), StringTransport()
+        protocol.makeConnection(transport)
+        self.opened.append((protocol, transport))
+        return protocol, transport
+
+
+def failed(result: list[Any]) -> bool:
+    return len(result) == 1 and result[0].check(CallFailedError) is not None
+
+
+def test_a_request_is_sent_whole_and_answered() -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, transport = peer.open()
+    assert transport.value() == (
+        b"POST /multi HTTP/1.1\r\nhost: 10.0.0.1:80\r\ncontent-type: application/msgpack\r\n"
+        b"content-length: 4\r\n\r\ndata"
+    )
+    for byte in OK:
+        assert not result
+        protocol.dataReceived(bytes([byte]))
+    assert result == [Answer(200, b"body")]
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        OK,
+        b"HTTP/1.1 100 Continue\r\n\r\n" + OK,
+        b"HTTP/1.1 200 OK\r\nContent-Length:4\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+    ],
+)
+def test_a_connection_is_used_again(response: bytes) -> None:
+    peer = Peer()
+    first = peer.call()
+    protocol, transport = peer.open()
+    protocol.dataReceived(response)
+    assert first == [Answer(200, b"body")]
+    transport.clear()
+    second = peer.call()
+    assert len(peer.reactor.tcpClients) == 1
+    assert transport.value().startswith(b"POST /multi")
+    protocol.dataReceived(response)
+    assert second == [Answer(200, b"body")]
+
+
+@pytest.mark.parametrize(
+    ("response", "body"),
+    [
+        (b"HTTP/1.1 204 No Content\r\n\r\n", b""),
+        (b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n", b""),
+    ],
+)
+def test_answers_without_a_body_end_with_their_head(response: bytes, body: bytes) -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, _ = peer.open()
+    protocol.dataReceived(response)
+    assert result == [Answer(int(response.split()[1]), body)]
+
+
+def test_a_body_without_a_length_ends_with_the_connection() -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, _ = peer.open()
+    protocol.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nbo")
+    protocol.dataReceived(b"dy")
+    assert not result
+    protocol.connectionLost(Failure(ConnectionDone()))
+    assert result == [Answer(200, b"body")]
+    peer.call()
+    assert len(peer.reactor.tcpClients) == 2
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\ncontent-le",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbod",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+    ],
+)
+def test_what_is_cut_off_is_no_answer(part: bytes) -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, _ = peer.open()
+    protocol.dataReceived(part)
+    protocol.connectionLost(Failure(ConnectionDone()))
+    assert failed(result)
+
+
+def test_a_reset_ends_no_body() -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, _ = peer.open()
+    protocol.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nbody")
+    protocol.connectionLost(Failure(ConnectionLost()))
+    assert failed(result)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"nonsense\r\n",
+        b"HTTP/1.1 many OK\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: some\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nno header\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
+def test_what_is_no_response_fails_the_call_and_ends_the_connection(response: bytes) -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, transport = peer.open()
+    protocol.dataReceived(response)
+    assert failed(result)
+    assert transport.disconnecting or transport.disconnected
+    peer.call()
+    assert len(peer.reactor.tcpClients) == 2
+
+
+def test_more_than_the_answer_is_not_taken_for_the_next_one() -> None:
+    peer = Peer()
+    first = peer.call()
+    protocol, transport = peer.open()
+    protocol.dataReceived(OK + OK.replace(b"body", b"next"))
+    assert first == [Answer(200, b"body")]
+    assert transport.disconnecting
+    second = peer.call()
+    assert len(peer.reactor.tcpClients) == 2
+    assert not second
+
+
+def test_a_call_out_of_time_ends_its_connection() -> None:
+    peer = Peer()
+    result = peer.call()
+    protocol, transport = peer.open()
+    peer.reactor.advance(LIMIT_S + 0.1)
+    assert failed(result)
+    assert transport.disconnecting or transport.disconnected
+    # A late answer is nobody's.
+    protocol.dataReceived(OK)
+    assert len(result) == 1
+
+
+def test_a_call_out_of_time_before_its_connection_opened_sends_nothing() -> None:
+    peer = Peer()
+    result = peer.call()
+    peer.reactor.advance(LIMIT_S + 0.1)
+    assert failed(result)
+    _, transport = peer.open()
+    assert transport.value() == b""
+
+
+def test_a_refused_connection_is_told_apart() -> None:
+    peer = Peer()
+    result = peer.call()
+    *_, factory, _, _ = peer.reactor.tcpClients[-1]
+    factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    assert failed(result)
+    assert result[0].value.refused
+
+
+def test_connections_for_orders_are_not_kept() -> None:
+    peer = Peer()
+    for _ in range(2):
+        result = peer.call("/orders")
+        protocol, transport = peer.open()
+        assert b"connection: close\r\n" in transport.value()
+        protocol.dataReceived(OK)
+        assert result == [Answer(200, b"body")]
+        assert transport.disconnecting
+    assert len(peer.reactor.tcpClients) == 2
+
+
+def test_few_idle_connections_are_kept_and_not_for_ever() -> None:
+    peer = Peer()
+    calls = []
+    for _ in range(MOST_IDLE + 2):
+        calls.append(peer.call())
+        peer.open()
+    for protocol, _ in peer.opened:
+        protocol.dataReceived(OK)
+    assert all(result == [Answer(200, b"body")] for result in calls)
+    assert [t.disconnecting for _, t in peer.opened] == [False] * MOST_IDLE + [True] * 2
+    peer.reactor.advance(IDLE_S * 2)
+    assert all(t.disconnecting for _, t in peer.opened)
+
+
+def test_an_idle_connection_that_ends_is_not_used() -> None:
+    peer = Peer()
+    peer.call()
+    protocol, _ = peer.open()
+    protocol.dataReceived(OK)
+    protocol.connectionLost(Failure(ConnectionDone()))
+    peer.call()
+    assert len(peer.reactor.tcpClients) == 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import socket
 import subprocess
 import sys
@@ -52,12 +53,16 @@
     return [sys.executable, *deploy["run"].split()[1:]]
 
 
-@pytest.fixture(scope="module", autouse=True)
-def built() -> None:
+def build() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
     subprocess.run(["bash", "-c", deploy["build"]], cwd=ROOT, check=True)
 
 
+@pytest.fixture(scope="module", autouse=True)
+def built() -> None:
+    build()
+
+
 def settings_file(path: Path, text: str = SETTINGS) -> Path:
     public, peer, cloud, state = free_ports(4)
     file = path / "settings.toml"
@@ -156,3 +161,43 @@
     )  # fmt: skip
     passed = float(done.stdout.split()[-1])
     assert 0.2 <= passed < 5.0, passed
+
+
+# What the deploy line loads before it serves: modules, and whether each is compiled already.
+LOADED = """
+import sys
+sys.argv = ["run.py", "--help"]
+sys.path.insert(0, "target/app")
+import run
+from beamspar.tcp import steady_reactor
+steady_reactor()
+import beamspar.control.node
+from pathlib import Path
+for name, module in list(sys.modules.items()):
+    if name.split(".")[0] in ("beamspar", "twisted") and getattr(module, "__file__", None):
+        source, compiled = Path(module.__file__), Path(module.__cached__)
+        # The header of compiled code says which source it is of, by its time.
+        stamp = int.from_bytes(compiled.read_bytes()[8:12], "little") if compiled.exists() else 0
+        print(name, source, stamp == int(source.stat().st_mtime))
+"""
+# Libraries that are not needed to serve, and cost some tenth of a start together.
+NOT_LOADED = ("twisted.web.client", "twisted.internet.endpoints", "twisted.plugin")
+
+
+def test_a_start_loads_compiled_sources_and_no_more_than_it_needs() -> None:
+    shutil.rmtree(ROOT / "target" / "app")
+    build()
+    flags = [word for word in run_line()[1:] if word.startswith("-") and word != "--config"]
+    # What the build left out is not made up for by this run.
+    done = subprocess.run(
+        [sys.executable, *flags, "-B", "-c", LOADED],
+        cwd=ROOT, capture_output=True, text=True, check=True,
+    )  # fmt: skip
+    lines = [line.split() for line in done.stdout.splitlines()]
+    names = {name for name, _, _ in lines}
+    assert {"beamspar.control.node", "twisted.web.http"} <= names
+    assert not names & set(NOT_LOADED)
+    for name, path, compiled in lines:
+        if name.startswith("beamspar"):
+            assert Path(path).is_relative_to(ROOT / "target" / "app"), path
+        assert compiled == "True", f"{name} is compiled anew at each start"
