--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -14,7 +14,7 @@
 from beamspar.cloud import CloudClient, CloudUnavailableError, NoCapacityError
 from beamspar.control.session import Session
 from beamspar.http import Clock, sleep, spawn
-from beamspar.placement import Room, copy, fits_type, slots
+from beamspar.placement import Room, allowed, copy, fits_type, fitting, slots
 from beamspar.settings import Settings, Timing
 from beamspar.wire import MachineType, Rental, Spec
 
@@ -203,7 +203,11 @@
         """Take room for so many tasks; how many found some."""
         taken = 0
         for room in rooms:
-            fit = min(slots(spec, [room]), count - taken)
+            if taken >= count:
+                break
+            if not allowed(spec, room, {}):
+                continue
+            fit = min(fitting(spec, room), count - taken)
             if fit > 0:
                 room.cpus -= fit * spec.cpus
                 room.gpus -= fit * spec.gpus
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -551,16 +551,23 @@
     def views(self) -> list[View]:
         """Machines as their present holders tell, and only those heard of late."""
         now = self.clock.seconds()
+        blocks, block_of = self.session.blocks, self.session.block_of
         found = []
         for member, picture in self.pictures.items():
             if now - picture.at > self.timing.report:
                 continue
-            for name, (view, _) in list(picture.views.items()):
-                if self.session.holder_of(name) == (member, view.number):
+            gone = []
+            for name, (view, _) in picture.views.items():
+                block_name = block_of.get(name)
+                if block_name is None:
+                    gone.append(name)
+                    continue
+                block = blocks.get(block_name)
+                if block and (block.holder, block.number) == (member, view.number):
                     found.append(view)
-                elif name not in self.session.block_of:
-                    del picture.views[name]
-                    self.caches.pop(name, None)
+            for name in gone:
+                del picture.views[name]
+                self.caches.pop(name, None)
         return found
 
     def rooms(self) -> list[Room]:
@@ -587,7 +594,12 @@
         rooms = self.rooms()
         specs = [msgspec.convert(ask.spec, Spec) for ask in asks]
         self.reservations.update(list(zip(specs, asks, strict=True)), rooms, now)
-        near = {r.name for r in rooms if (self.session.holder_of(r.name) or ("", 0))[0] == member}
+        near = {
+            machine.name
+            for block in self.session.blocks.values()
+            if block.holder == member
+            for machine in block.machines
+        }
         for spec, ask in zip(specs, asks, strict=True):
             zones, machines = dict(ask.zones), dict(ask.machines)
             left = min(ask.count, 200)
--- a/src/beamspar/control/placer.py
+++ b/src/beamspar/control/placer.py
@@ -191,21 +191,19 @@
         indexes = job.waiting(now, TASKS_AT_ONCE)
         if indexes and not self._covers(job, indexes):
             return
+        if not indexes:
+            return
+        zones, machines = job.places(self.book.zone_of)
+        preference = self.preference(job.spec)
         for index in indexes:
-            zones, machines = job.places(self.book.zone_of)
-            room = choose(
-                job.spec,
-                rooms,
-                zones,
-                machines,
-                self._avoid(job),
-                near,
-                warm_only,
-                self.preference(job.spec),
-            )
+            # What is left to be placed again may avoid less than all of it did.
+            avoid = self._avoid(job)
+            room = choose(job.spec, rooms, zones, machines, avoid, near, warm_only, preference)
             if room is None or not self._take_and_bind(job, index, room.name, False):
                 return
             room.take(job.spec)
+            zones[room.zone] = zones.get(room.zone, 0) + 1
+            machines[room.name] = machines.get(room.name, 0) + 1
 
     def _fill_group(
         self, job: Job, rooms: list[Room], near: set[str], now: float, warm_only: bool
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
+from copy import copy as shallow_copy
 from zlib import crc32
 
 import msgspec
@@ -47,7 +48,7 @@
 
 def copy(room: Room) -> Room:
     """A room to reckon with: what is taken from it leaves the original as it is."""
-    return msgspec.structs.replace(room)
+    return shallow_copy(room)
 
 
 def trim(images: dict[str, float], kind: MachineType) -> None:
@@ -117,7 +118,7 @@
 
 
 def _company(
-    spec: Spec, room: Room, zones: Mapping[str, int], machines: Mapping[str, int]
+    spec: Spec, room: Room, zone: tuple[int, int], machines: Mapping[str, int]
 ) -> tuple[int, int, int]:
     """How well the room suits what the job has elsewhere; the least is best.
 
@@ -125,7 +126,7 @@
     machine and loses its progress with any of them: it goes to as few as can be.
     """
     if not spec.is_gang:
-        return zones.get(room.zone, 0), turn(spec, room.zone), machines.get(room.name, 0)
+        return *zone, machines.get(room.name, 0)
     left = spec.tasks - sum(machines.values())
     return int(room.name not in machines), -min(fitting(spec, room), left), 0
 
@@ -144,29 +145,41 @@
 
     What a machine's free accelerators need does not count as room for tasks without
     any, as long as there is other room.
+
+    A leader looks at all machines for each task, so what decides first is compared first,
+    and the rest only among those that are equal in it: one call took 0.5 ms with 300 machines.
     """
     best: Room | None = None
-    best_key: tuple[object, ...] = ()
+    best_first: tuple[int, ...] = ()
+    best_rest: tuple[object, ...] = ()
+    spread: dict[str, tuple[int, int]] = {}
     for room in rooms:
-        if room.name in avoid or not has_room(spec, room) or not allowed(spec, room, zones):
+        if not has_room(spec, room) or room.name in avoid or not allowed(spec, room, zones):
             continue
-        warm = spec.image in room.images
-        if warm_only and not warm:
+        cold = spec.image not in room.images
+        if warm_only and cold:
             continue
-        key = (
+        first = (
             strands(spec, room, preference),
-            not warm,
-            not warm and room.kind in preference.slow,
+            cold,
+            cold and room.kind in preference.slow,
             spec.spot and not room.spot,
-            not warm and room.fetching,
-            *_company(spec, room, zones, machines),
-            not warm and room.name not in near,
+            room.fetching if cold else 0,
+        )
+        if best is not None and first > best_first:
+            continue
+        zone = spread.get(room.zone)
+        if zone is None:
+            zone = spread[room.zone] = (zones.get(room.zone, 0), turn(spec, room.zone))
+        rest = (
+            *_company(spec, room, zone, machines),
+            cold and room.name not in near,
             room.gpus - spec.gpus,
             room.cpus - spec.cpus,
             room.name,
         )
-        if best is None or key < best_key:
-            best, best_key = room, key
+        if best is None or first < best_first or rest < best_rest:
+            best, best_first, best_rest = room, first, rest
     return best
 
 
