Stand-ins: a processor that takes time; slow controllers, quiet minutes and odd limits tested

Each message and timer may take a controller's processor so much time; what comes meanwhile waits.

Counted: calls of a quiet minute, and no room counted anew for a report without news. The program starts with limits that are missing, nought or absurdly small.

--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -26,6 +26,9 @@
         self.alive: set[str] = set()
         # Until when a host stands still while its clock runs on.
         self.frozen: dict[str, float] = {}
+        # What each message and timer takes of a host's processor, and until when it is busy.
+        self.cost_s: dict[str, float] = {}
+        self.busy: dict[str, float] = {}
         # Bytes that controllers told each other.
         self.peer_bytes = 0
         # Per address that bounds them: the most connections, and those open, by who came.
@@ -46,6 +49,17 @@
         # What controllers order, as it leaves them.
         self.ordering: Callable[[str, bytes], None] = lambda source, body: None
 
+    def wait(self, host: str) -> float:
+        """How long until the host does something more; nothing or less: it may do so now."""
+        until = max(self.frozen.get(host, 0.0), self.busy.get(host, 0.0))
+        return until - self.clock.seconds()
+
+    def spend(self, host: str) -> None:
+        """The host deals with one message or timer: the next one waits for its processor."""
+        cost_s = self.cost_s.get(host, 0.0)
+        if cost_s:
+            self.busy[host] = self.clock.seconds() + cost_s
+
     def serve(self, host: str, address: str, handler: Handler) -> None:
         self.handlers[address] = (host, handler)
         self.alive.add(host)
@@ -125,13 +139,14 @@
         self.peaks[source] = max(self.peaks.get(source, 0), self.sockets(source))
 
         def settle(answer: Answer | None) -> None:
-            still = self.frozen.get(source, 0.0) - self.clock.seconds()
+            still = self.wait(source)
             if still > 0:
                 # What came meanwhile is read when it goes on, the time-out as well.
                 self.clock.callLater(still, settle, answer)
                 return
             if settled or self.generation.get(source, 0) != born:
                 return
+            self.spend(source)
             settled.append(True)
             self.calling[source] -= 1
             if timer.active():
@@ -151,13 +166,14 @@
         target, _ = found
 
         def arrive() -> None:
-            still = self.frozen.get(target, 0.0) - self.clock.seconds()
+            still = self.wait(target)
             if still > 0:
                 self.clock.callLater(still, arrive)
                 return
             entry = self.handlers.get(address)
             if entry is None or target not in self.alive:
                 return
+            self.spend(target)
             door = self._enter(source, address)
             if door is None:
                 self.carry(target, source, lambda: settle(None))
@@ -240,8 +256,9 @@
     def _run(self, f: Callable[..., Any], args: tuple[Any, ...]) -> None:
         if self.network.generation.get(self.host, 0) != self.born:
             return
-        still = self.network.frozen.get(self.host, 0.0) - self.network.clock.seconds()
+        still = self.network.wait(self.host)
         if still > 0:
             self.network.clock.callLater(still, self._run, f, args)
         else:
+            self.network.spend(self.host)
             f(*args)
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -325,6 +325,7 @@
         self.network.calling[name] = 0
         for address in (self.addresses[name], self.settings[name].peer_bind):
             self.network.doors[address] = {}
+        self.network.busy.pop(name, None)
         if back_s is not None:
             self.clock.callLater(back_s, self._back, name, self.network.generation[name])
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -70,8 +70,18 @@
     return file
 
 
-def test_deploy_lines_start_the_service(tmp_path: Path) -> None:
-    file = settings_file(tmp_path)
+@pytest.mark.parametrize(
+    "limits",
+    [
+        "",
+        "[facts.limits]\ncores = 0.13\nmemory_mb = 98.0\nsockets = 1000\n",
+        "[facts.limits]\ncores = 0.0\nmemory_mb = 0.0\nsockets = 0\n",
+        "[facts.limits]\ncores = 0.001\nmemory_mb = 0.5\nsockets = 3\n",
+    ],
+)
+def test_deploy_lines_start_the_service(tmp_path: Path, limits: str) -> None:
+    """Also with limits that are missing, nought or absurdly small."""
+    file = settings_file(tmp_path, SETTINGS + limits)
     address = tomllib.loads(file.read_text())["public_addr"]
     process = subprocess.Popen(
         [*run_line(), str(file)], cwd=ROOT, stderr=subprocess.PIPE, text=True
--- /dev/null
+++ b/tests/test_quiet_work.py
@@ -0,0 +1,86 @@
+"""What a quiet minute costs, counted: the same on every machine, and it must not grow unseen."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from beamspar.control.holder import Holder
+from tests.standins.world import ZONES, World
+
+QUIET_S = 60.0
+
+
+def settled_world(machines: int) -> World:
+    """A service fills each machine, none more can be had, and nothing has happened for long."""
+    world = World(
+        3,
+        machines=[{"kind": "small", "zone": zone, "count": machines // 3} for zone in ZONES],
+        capacity=[
+            {"kind": kind, "zone": zone, "spot": spot, "count": 0}
+            for kind in ("small", "big")
+            for zone in ZONES
+            for spot in (False, True)
+        ],
+        state={"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 24},
+    )
+    jobs = [f"j-{number}" for number in range(machines)]
+    for number, job in enumerate(jobs):
+        world.clock.callLater(8.0 + number * 0.1, lambda job=job: world.submit(job, cpus=4.0))
+    world.run(60.0)
+    assert sum(map(world.running, jobs)) == machines
+    return world
+
+
+def counted(world: World) -> Counter[str]:
+    """How often each controller's calls go out in a quiet minute, by what they are for."""
+    calls: Counter[str] = Counter()
+    request = world.network.request
+
+    def counting(source: str, method: str, address: str, path: str, *rest: Any) -> Any:
+        if source in world.names:
+            calls[path.partition("?")[0] if path.startswith("/peer/") else address] += 1
+        return request(source, method, address, path, *rest)
+
+    world.network.request = counting  # type: ignore[method-assign]
+    world.run(world.clock.seconds() + QUIET_S)
+    return calls
+
+
+def test_calls_of_a_quiet_minute() -> None:
+    world = settled_world(90)
+    writes = len(world.state.history)
+    calls = counted(world)
+    # Three controllers, a heartbeat every half second: two of them tell the leader, each asks
+    # both siblings and waits that long; and all repeat what they want once in a worker's lease.
+    assert calls["/peer/beat"] <= 2 * 2 * QUIET_S * 1.2
+    assert calls["/peer/pulse"] <= 3 * 2 * QUIET_S * 1.5
+    assert calls["/peer/sync"] <= 3 * 2 * (QUIET_S / 15.0 + 2)
+    assert calls["/peer/statuses"] == 0
+    assert calls["/peer/asks"] == 0
+    # Renewals, watches and the comparisons behind polls; all of the service's rate is 150.
+    assert calls["state:1"] <= 16 * QUIET_S
+    assert not [address for address in calls if address.endswith(":9000")], "no orders"
+    # The leader's own record aside, nothing is written.
+    assert len(world.state.history) - writes <= 1
+
+
+@pytest.mark.parametrize("machines", [30, 90])
+def test_a_report_without_news_counts_no_room_anew(
+    machines: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = settled_world(machines)
+    counts = {name: node.holder.changes for name, node in world.nodes.items()}
+    reports: list[str] = []
+    report = Holder.report
+
+    def counting(holder: Holder, message: Any) -> Any:
+        reports.append(message.machine)
+        return report(holder, message)
+
+    monkeypatch.setattr(Holder, "report", counting)
+    world.run(world.clock.seconds() + QUIET_S)
+    assert len(reports) >= machines * QUIET_S / 3.0 * 0.8
+    assert {name: node.holder.changes for name, node in world.nodes.items()} == counts
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -166,6 +166,17 @@
     play(seed, 1, upgrade=True)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_faults_with_slow_controllers(seed: int) -> None:
+    play(7000 + seed, 1, slow=True)
+
+
+def slow_down(world: World, dice: random.Random) -> None:
+    """Each controller's processor takes none, some or most of its time for what comes in."""
+    for name in world.names:
+        world.network.cost_s[name] = dice.choice([0.0, 0.01, 0.04])
+
+
 def upgraded(world: World) -> bool:
     """Has every controller registered with the new release, all of its records included?"""
     fences = [world.state.items.get(f"c/fence/{name}", ({},))[0] for name in world.names]
@@ -185,6 +196,7 @@
     world.state.refused.clear()
     world.state.late_watches.clear()
     world.network.barred.clear()
+    world.network.cost_s.clear()
     world.copying = (-1.0, 0.0, False)
     for pair in list(world.network.cuts):
         world.network.heal(*pair)
@@ -218,8 +230,9 @@
 NEXT = {"value_kb": 1.0, "txn_ops": 4, "write_rps": 40.0}
 
 
-def play(seed: int, size: int, upgrade: bool = False) -> None:
+def play(seed: int, size: int, upgrade: bool = False, slow: bool = False) -> None:
     dice = random.Random(seed)
+    slow_dice = random.Random(seed)
     world = World(
         seed,
         old="all" if upgrade else [],
@@ -247,6 +260,8 @@
             load(world, dice, jobs)
         if dice.random() < 0.6:
             fault(world, dice)
+        if slow:
+            slow_down(world, slow_dice)
         if dice.random() < 0.5:
             job = f"j-{dice.randint(1, jobs)}"
             if job in world.checker.accepted:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -72,6 +72,10 @@
     elif do == "freeze":
         for name in nodes_of(world, step["nodes"]):
             world.network.frozen[name] = world.clock.seconds() + step["for_s"]
+    elif do == "slow":
+        # Each message and timer takes so much of their processors; 0 ends it.
+        for name in nodes_of(world, step["nodes"]):
+            world.network.cost_s[name] = step["cost_ms"] / 1000
     elif do == "state" and "down" not in step:
         world.state.late_share = step.get("late_share", 0.0)
         world.state.at_once = step.get("at_once", False)
