4,000 machines: the cloud's list within its rate, messages cut to what a sibling takes

The stand-in cloud now lists by pages and refuses what is above its rate, as PROTOCOL has it; then the list of a fleet beyond three pages at 1.5 calls a second was never read: each machine got a block of its own, and of 4,000 simulated machines 3,129 lost their leases as the leader ended.

--- a/src/beamspar/cloud.py
+++ b/src/beamspar/cloud.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
 from beamspar.http import CallFailedError, Net
 from beamspar.wire import InvalidInputError, MachineType, Rental, convert, pack, unpack
 
+# Machines that the cloud lists in one answer at most (PROTOCOL).
+PAGE_SIZE = 500
+
 
 class CloudUnavailableError(Exception):
     """No usable answer; a request to rent or return may yet be carried out."""
@@ -18,7 +21,16 @@
     """None to be had of this type, zone and kind."""
 
 
+class MachinePage(NamedTuple):
+    """A page of the cloud's list of machines, and whether more follow."""
+
+    machines: list[Rental]
+    truncated: bool
+
+
 class CloudClient:
+    """Calls of the cloud's interface. Raises CloudUnavailableError and NoCapacityError."""
+
     def __init__(self, net: Net, address: str, limit_s: float) -> None:
         self.net = net
         self.address = address
@@ -54,19 +66,14 @@
         return [str(r) for r in rigs]
 
     async def give_back(self, names: list[str]) -> None:
-        await self._call("POST", "/rentals/return", {"rigs": names[:100]})
-
-    async def machines(self) -> list[Rental]:
-        found: list[Rental] = []
-        after = ""
-        while True:
-            path = "/rentals?most=500" + (f"&since={after}" if after else "")
-            _, data = await self._call("GET", path)
-            try:
-                page: list[Rental] = convert(data.get("rigs"), list[Rental])
-            except InvalidInputError as error:
-                raise CloudUnavailableError(f"odd reply: {error}") from error
-            found.extend(page)
-            if not data.get("truncated") or not page:
-                return found
-            after = page[-1].machine
+        await self._call("POST", "/rentals/return", {"rigs": names})
+
+    async def machines(self, after: str) -> MachinePage:
+        """One page of the list: the machines that were created after the named one."""
+        path = f"/rentals?most={PAGE_SIZE}" + (f"&since={after}" if after else "")
+        _, data = await self._call("GET", path)
+        try:
+            page: list[Rental] = convert(data.get("rigs"), list[Rental])
+        except InvalidInputError as error:
+            raise CloudUnavailableError(f"odd reply: {error}") from error
+        return MachinePage(page, bool(data.get("truncated")) and bool(page))
--- a/src/beamspar/control/assignments.py
+++ b/src/beamspar/control/assignments.py
@@ -9,7 +9,7 @@
 
 from beamspar.control.gang import Phase
 from beamspar.control.job import Job, Task
-from beamspar.control.messages import CLEAR, HOLD, RUN, STOP, Status, Sync, Want
+from beamspar.control.messages import CLEAR, HOLD, RUN, STOP, WANTS_AT_ONCE, Status, Sync, Want
 from beamspar.control.records import LIVE
 from beamspar.control.session import Session
 from beamspar.http import Clock, spawn
@@ -92,24 +92,60 @@
 
     async def _sync(self, holder: str, full: bool) -> None:
         machines = self.due.pop(holder, set())
-        answers = None
+        if full:
+            self.told_all[holder] = self.clock.seconds()
+        heard = False
         try:
-            messages = self._wants(holder, None if full else machines)
-            if full:
-                self.told_all[holder] = self.clock.seconds()
-            assert self.send is not None
-            answers = await self.send(holder, messages) if messages else []
+            for part in self._parts(holder, None if full else machines):
+                heard = await self._tell(holder, part)
+                if not heard:
+                    break
         finally:
             self.syncing.discard(holder)
-            if answers is None:
+            if not heard:
                 # Lost, or its answer was: said again with the next heartbeat.
                 self.due.setdefault(holder, set()).update(machines)
                 if full:
                     self.told_all.pop(holder, None)
+        if heard and self.due.get(holder):
+            self.sync()
+
+    async def _tell(self, holder: str, machines: set[str] | None) -> bool:
+        """Send what is wanted on these machines, and take in the answer; False when it is lost."""
+        assert self.send is not None
+        messages = self._wants(holder, machines)
+        answers = await self.send(holder, messages) if messages else []
         if answers:
             self.book.statuses(answers)
-        if answers is not None and self.due.get(holder):
-            self.sync()
+        return answers is not None
+
+    def _parts(
+        self, holder: str, machines: set[str] | None, most: int = WANTS_AT_ONCE
+    ) -> list[set[str] | None]:
+        """The machines to speak of, cut so that each part's wants fit into one message.
+
+        None stands for all machines. All wants on the fleet of one holder were one message, and
+        one beyond the limit was refused and repeated for ever.
+        """
+        names = {*self.on, *self.clears} if machines is None else machines
+        weights = {n: len(self.on.get(n, ())) + len(self.clears.get(n, ())) for n in names}
+        if sum(weights.values()) <= most:
+            return [machines]
+        if machines is None:
+            # Also machines on which nothing is wanted any more.
+            blocks = self.session.blocks.values()
+            names = names | {m.name for b in blocks if b.holder == holder for m in b.machines}
+        parts: list[set[str] | None] = []
+        part: set[str] = set()
+        size = 0
+        for name in sorted(names):
+            size += weights.get(name, 0)
+            if part and size > most:
+                parts.append(part)
+                part, size = set(), weights.get(name, 0)
+            part.add(name)
+        parts.append(part)
+        return parts
 
     def _wants(self, holder: str, machines: set[str] | None) -> list[Sync]:
         """Per partition all that we want on these machines, or (None) on all of the holder's."""
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -24,6 +24,8 @@
 # What the cloud takes in one request (PROTOCOL).
 MOST_AT_ONCE = 50
 RETURN_AT_ONCE = 100
+# How often one page of the list is asked for again before the whole list is given up.
+PAGE_RETRIES = 3
 
 
 def _sort(place: Place) -> tuple[str, bool]:
@@ -58,6 +60,8 @@
         self.gap = 2.0 / settings.facts.cloud.rps
         self.types = types
         self.listed: dict[str, Rental] = {}
+        # Machines that the list names so far, while its pages are being read.
+        self.counted = 0
         self.booting: dict[str, Booting] = {}
         self.refused: dict[Place, tuple[float, float]] = {}
         self.due: set[str] = set()
@@ -71,10 +75,11 @@
 
     async def refresh(self) -> None:
         """Read the cloud's list; it lags, and may be older than the one before."""
-        machines = await self.cloud.machines()
+        machines = await self._list_all()
         now = self.clock.seconds()
         self.listed_at = now
         self.listed = {m.machine: m for m in machines}
+        self.counted = len(machines)
         for machine in machines:
             kind = self.types.get(machine.kind)
             boot = kind.boot_s if kind else self.lag
@@ -93,6 +98,32 @@
                 log.info("{machine} has failed: returned", machine=machine.machine)
                 self.give_back([machine.machine])
 
+    async def _list_all(self) -> list[Rental]:
+        """All pages of the list, the later ones at the pace that leaves the rate to renting.
+
+        One after the other without a pause, more pages than a burst were refused: the list of a
+        fleet beyond 1,500 machines (at 1.5 calls a second) was never read, and each machine got a
+        block of its own.
+        """
+        machines: list[Rental] = []
+        after, failures = "", 0
+        while True:
+            try:
+                page = await self.cloud.machines(after)
+            except CloudUnavailableError:
+                failures += 1
+                if failures > PAGE_RETRIES:
+                    raise
+                await sleep(self.clock, self.gap)
+                continue
+            failures = 0
+            machines.extend(page.machines)
+            self.counted = max(self.counted, len(machines))
+            if not page.truncated:
+                return machines
+            after = page.machines[-1].machine
+            await sleep(self.clock, self.gap)
+
     def price(self, room: Room) -> float:
         kind = self.types.get(room.kind)
         return (kind.spot_price if room.spot else kind.price) if kind else 0.0
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -22,6 +22,7 @@
     REFUSED,
     RUN,
     STOP,
+    VIEWS_AT_ONCE,
     Status,
     Sync,
     View,
@@ -726,33 +727,46 @@
             machine.changed = self.changes
         return machine.room
 
-    def views(self, since: int = 0) -> list[View]:
-        """What has changed after that count of changes; silent machines always."""
+    def views(self, since: int = 0, most: int = VIEWS_AT_ONCE) -> tuple[list[View], int]:
+        """What has changed after that count of changes, silent machines always; and the count
+        up to which this tells: of more changes than fit into one message, the earlier ones."""
         now = self.clock.seconds()
-        views = []
+        changed: list[HeldMachine] = []
+        silent: list[HeldMachine] = []
         for machine in self.machines.values():
-            room = self._room(machine)
-            silent = now - machine.reported_at
-            if silent > self.timing.silent / 2 or machine.was_silent:
-                # Told while it lasts, and once more when it is over.
-                machine.was_silent = silent > self.timing.silent / 2
-            elif machine.changed <= since:
+            # Counted anew where something changed, which moves `machine.changed`.
+            self._room(machine)
+            if machine.changed > since:
+                changed.append(machine)
                 continue
-            views.append(
-                View(
-                    room,
-                    machine.number,
-                    machine.fresh,
-                    machine.lost,
-                    machine.sick_until > now,
-                    machine.bad,
-                    machine.notice_s is not None,
-                    machine.retiring,
-                    silent,
-                    now - machine.idle_since,
-                )
-            )
-        return views
+            is_silent = now - machine.reported_at > self.timing.silent / 2
+            if is_silent or machine.was_silent:
+                silent.append(machine)
+        count = self.changes
+        if len(changed) > most:
+            changed.sort(key=lambda machine: machine.changed)
+            del changed[most:]
+            count = changed[-1].changed
+        silent.sort(key=lambda machine: machine.reported_at)
+        told = changed + silent[: max(most - len(changed), 0)]
+        return [self._view(machine, now) for machine in told], count
+
+    def _view(self, machine: HeldMachine, now: float) -> View:
+        silent_s = now - machine.reported_at
+        # Told while it lasts, and once more when it is over.
+        machine.was_silent = silent_s > self.timing.silent / 2
+        return View(
+            self._room(machine),
+            machine.number,
+            machine.fresh,
+            machine.lost,
+            machine.sick_until > now,
+            machine.bad,
+            machine.notice_s is not None,
+            machine.retiring,
+            silent_s,
+            now - machine.idle_since,
+        )
 
     def retire(self, names: list[str]) -> None:
         """The leader's list replaces the one before; who is on it no longer serves again."""
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -68,6 +68,8 @@
         self.inc = inc
         self.count = 0
         self.at = -1e9
+        # Every machine of the member was told once.
+        self.complete = False
         # Each machine's view and when it came.
         self.views: dict[str, tuple[View, float]] = {}
         self.classes: dict[str, JobClass] = {}
@@ -347,7 +349,9 @@
     def _block_size(self) -> int:
         """So many machines that one transaction moves about all of a controller's blocks."""
         facts, limits = self.settings.facts, self.limits
-        fleet = max(len(self.fleet.listed), len(self.session.block_of))
+        # The cloud's list may be late or out of reach: what reports is there as well.
+        known = len(self.session.block_of.keys() | self.seen.keys())
+        fleet = max(self.fleet.counted, known)
         fitting = int(limits.value_kb * 1024 / 2 / MACHINE_BYTES)
         size = -(-fleet // (max(facts.nodes, 1) * limits.txn_ops))
         return max(min(self.tuning.block_size or size, fitting), 1)
@@ -362,11 +366,11 @@
             for m, _ in self.seen.values()
             if m.name not in self.session.block_of and m.name not in self.fleet.returned
         ]
+        size = self._block_size()
         self.seen.clear()
         if not new:
             return
         counts = self._counts()
-        size = self._block_size()
         groups: dict[tuple[str, str, bool], list[Machine]] = {}
         for machine in sorted(new, key=lambda m: m.name):
             self.fleet.up(machine.name)
@@ -505,7 +509,11 @@
             picture = self.pictures[summary.member] = Picture(summary.inc)
         taken = picture.count == summary.since
         if taken:
-            picture.count, picture.at, picture.classes = summary.count, now, summary.classes
+            picture.count, picture.classes = summary.count, summary.classes
+            picture.complete = picture.complete or not summary.partial
+            if picture.complete:
+                # Before that it counts as not heard: room that was not told would be rented.
+                picture.at = now
             picture.strays = summary.strays
             picture.views.update({v.room.name: (v, now) for v in summary.views})
             for name, images in summary.caches.items():
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -137,6 +137,8 @@
     caches: dict[str, dict[str, float]] = {}
     # Machines whose workers came here, for their holder does not answer them.
     strays: list[str] = []
+    # More changes than one message holds: the next heartbeat goes on where this one ends.
+    partial: bool = False
 
 
 class Directions(msgspec.Struct):
@@ -183,6 +185,14 @@
     jobs: dict[str, int]
 
 
+# What a sibling takes in one message.
+PEER_LIMIT = 4 * 1024 * 1024
+# Most of each kind in one message: a share of it by the bytes that one takes, with room to spare.
+VIEWS_AT_ONCE = PEER_LIMIT // 2 // 1024
+WANTS_AT_ONCE = PEER_LIMIT // 2 // 256
+STATUSES_AT_ONCE = PEER_LIMIT // 2 // 256
+
+
 def encode(message: Any) -> bytes:
     return orjson.dumps(msgspec.to_builtins(message, builtin_types=()))
 
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -18,6 +18,8 @@
 from beamspar.control.holder import Holder
 from beamspar.control.leader import Leader
 from beamspar.control.messages import (
+    PEER_LIMIT,
+    STATUSES_AT_ONCE,
     Ask,
     Asks,
     Directions,
@@ -47,8 +49,6 @@
 log = Logger(namespace="node")
 
 TYPES = "c/types"
-# What a sibling may send in one message.
-PEER_LIMIT = 4 * 1024 * 1024
 
 
 class Node:
@@ -381,8 +381,10 @@
 
     async def _push_to(self, owner: str, statuses: list[Status]) -> None:
         holder = self.holder
-        if not await self.tell(owner, "statuses", Statuses(statuses)) and holder:
-            holder.untold(statuses)
+        for low in range(0, len(statuses), STATUSES_AT_ONCE):
+            part = statuses[low : low + STATUSES_AT_ONCE]
+            if not await self.tell(owner, "statuses", Statuses(part)) and holder:
+                holder.untold(part)
 
     def _statuses(self, statuses: list[Status]) -> None:
         if self.owner:
@@ -452,17 +454,19 @@
             self.heartbeat_known = 0
             return
         known = self.heartbeat_known if self.heartbeat_to == leader else 0
+        views, count = self.holder.views(known)
         summary = Summary(
             session.me,
             session.inc,
-            self.holder.views(known),
+            views,
             known,
-            self.holder.changes,
+            count,
             [msgspec.to_builtins(m) for m in self.seen.values()],
             classes,
             self.caches_known if known else 0,
             {} if known else self.caches,
             self._strays(),
+            partial=count < self.holder.changes,
         )
         self.seen.clear()
         self.heartbeat_to, self.heartbeat_known = leader, 0
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -247,8 +247,17 @@
 
 
 class CloudStandin:
-    def __init__(self, clock: SimClock, types: list[dict[str, Any]], make: Any) -> None:
+    # Machines that one page of the list holds at most (PROTOCOL).
+    PAGE = 500
+
+    def __init__(
+        self, clock: SimClock, types: list[dict[str, Any]], make: Any, rps: float = 3.0
+    ) -> None:
         self.clock = clock
+        self.rps = rps
+        # Bursts are worth two seconds.
+        self.allowance, self.allowed_at = rps * 2, clock.seconds()
+        self.refused = 0
         self.types = types
         self.make = make
         self.machines: dict[str, dict[str, Any]] = {}
@@ -281,6 +290,9 @@
     async def handle(self, call: Call) -> Answer:
         if self.down:
             return Answer(503, pack({"error": "trouble"}))
+        if not self._admitted():
+            self.refused += 1
+            return Answer(429)
         if call.path == "/machine_types":
             return Answer(200, pack({"rig_kinds": self.types}))
         body = unpack(call.body) if call.body else {}
@@ -296,12 +308,28 @@
                     if worker:
                         worker.die()
             return Answer(200, pack({}))
+        return self._list(call.query.get("since", ""), int(call.query.get("most", self.PAGE)))
+
+    def _admitted(self) -> bool:
+        """Does the rate allow one more request now?"""
         now = self.clock.seconds()
-        rigs = [
-            {**{k: v for k, v in m.items() if k != "born"}, "held_s": now - m["born"]}
-            for m in self.machines.values()
-        ]
-        return Answer(200, pack({"rigs": rigs, "truncated": False}))
+        self.allowance = min(self.allowance + (now - self.allowed_at) * self.rps, self.rps * 2)
+        self.allowed_at = now
+        if self.allowance < 1:
+            return False
+        self.allowance -= 1
+        return True
+
+    def _list(self, since: str, most: int) -> Answer:
+        now = self.clock.seconds()
+        names = sorted(name for name in self.machines if name > since)
+        page = names[: min(most, self.PAGE)]
+        rigs = []
+        for name in page:
+            machine = self.machines[name]
+            shown = {k: v for k, v in machine.items() if k != "born"}
+            rigs.append({**shown, "held_s": now - machine["born"]})
+        return Answer(200, pack({"rigs": rigs, "truncated": len(page) < len(names)}))
 
     def _rent(self, body: dict[str, Any]) -> Answer:
         if body["hire"] in self.names:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,202 @@
+"""What grows with the fleet is cut to the size that one message or one page may have."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from beamspar.cloud import CloudUnavailableError, MachinePage
+from beamspar.control.assignments import Assignments
+from beamspar.control.fleet import PAGE_RETRIES, Fleet
+from beamspar.control.holder import Holder
+from beamspar.control.job import Job, Task
+from beamspar.control.messages import PEER_LIMIT, VIEWS_AT_ONCE, Sync, Want, encode
+from beamspar.control.session import BLOCK, Machine, Session, block_record
+from beamspar.settings import Timing, Tuning
+from beamspar.wire import MachineType, Rental
+from tests.standins.clock import SimClock
+from tests.test_budget import settings
+
+LARGEST_FLEET = 6000
+TASKS_EACH = 8
+BIG = MachineType("big", 32.0, 8.0, 256.0, zones=["east"], cache_gb=200.0)
+
+
+def held_fleet(count: int) -> tuple[SimClock, Session, Holder]:
+    """A controller that holds the whole fleet alone, each machine full of small tasks."""
+    clock, unused = SimClock(), Timing(settings(), Tuning())
+    store: Any = None
+    session = Session(clock, store, settings(), unused)
+    session.inc, session.fence_version = 1, 1
+    session.values[session.fence_key] = ({"inc": 1}, 1)
+    holder = Holder(clock, session, store, unused, lambda: {"big": BIG}, store)
+    machines = [Machine(f"host-{n:06d}", f"10.0.0.1:{n}", "big", "east") for n in range(count)]
+    session.learn(BLOCK + "host-000000", block_record(session.me, machines), 5)
+    for number, machine in enumerate(holder.machines.values()):
+        for index in range(TASKS_EACH):
+            key = (f"j-{number}/{index}", 1)
+            machine.wants[key] = Want(machine.info.name, 5, key[0], 1, "run", 1.0, 0.5, 3.25)
+            machine.images[f"image-of-a-long-name-{number}-{index}"] = 16.125
+    return clock, session, holder
+
+
+def test_a_full_heartbeat_goes_in_parts_that_a_sibling_takes() -> None:
+    _, _, holder = held_fleet(LARGEST_FLEET)
+    told: list[str] = []
+    known, parts = 0, 0
+    for _ in range(10):
+        if parts and known == holder.changes:
+            break
+        views, known = holder.views(known)
+        assert len(views) <= VIEWS_AT_ONCE
+        assert len(encode(views)) < PEER_LIMIT * 0.75
+        told += [view.room.name for view in views]
+        parts += 1
+    assert parts == -(-LARGEST_FLEET // VIEWS_AT_ONCE)
+    assert sorted(told) == sorted(holder.machines) and len(set(told)) == len(told)
+
+
+def test_changes_between_the_parts_of_a_heartbeat_are_told_too() -> None:
+    _, _, holder = held_fleet(50)
+    first, known = holder.views(0, most=20)
+    again = first[0].room.name
+    holder.machines[again].touch()
+    second, known = holder.views(known, most=20)
+    third, known = holder.views(known, most=20)
+    assert known == holder.changes
+    assert again in {view.room.name for view in second + third}
+    names = {view.room.name for view in first + second + third}
+    assert names == set(holder.machines)
+
+
+class Book:
+    """An owner's partition with the same tasks on every machine."""
+
+    def __init__(self, session: Session) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.partitions = {"rig-0.1"}
+        self.loaded = {"rig-0.1"}
+        self.taken: list[Any] = []
+
+    def statuses(self, statuses: list[Any]) -> None:
+        self.taken += statuses
+
+    def may_start(self, job: Job) -> bool:
+        return True
+
+
+def spoken_for(count: int) -> tuple[Session, Assignments]:
+    clock, session, _ = held_fleet(count)
+    assignments = Assignments(clock, session, Timing(settings(), Tuning()), Book(session))
+    for name in session.block_of:
+        there: dict[tuple[str, int], Any] = {}
+        for index in range(TASKS_EACH):
+            there[(f"j-{name}", index)] = (None, Task())
+        assignments.on[name] = there
+    return session, assignments
+
+
+def test_all_wants_of_a_large_fleet_are_cut_by_machines() -> None:
+    session, assignments = spoken_for(LARGEST_FLEET)
+    parts = assignments._parts(session.me, None)
+    assert len(parts) > 1 and None not in parts
+    names = [name for part in parts for name in part or ()]
+    assert sorted(names) == sorted(session.block_of)
+    for part in parts:
+        wants = [
+            Want(name, 5, f"j-of-a-long-name-{name}/{index}", 1, "run", image="image-" * 12)
+            for name in sorted(part or ())
+            for index in range(TASKS_EACH)
+        ]
+        message = [Sync("rig-0", "rig-0.1", 1, 1, 1, wants, sorted(part or ()))]
+        assert len(encode(message)) < PEER_LIMIT
+
+
+def test_a_machine_without_wants_is_named_in_a_part() -> None:
+    """What was wanted there before would stay wanted at its holder."""
+    session, assignments = spoken_for(20)
+    del assignments.on["host-000007"]
+    parts = assignments._parts(session.me, None, most=40)
+    assert len(parts) == 4
+    assert "host-000007" in set().union(*(part or set() for part in parts))
+
+
+def test_what_fits_is_told_at_once() -> None:
+    session, assignments = spoken_for(20)
+    assert assignments._parts(session.me, None) == [None]
+    assert assignments._parts(session.me, {"host-000001"}) == [{"host-000001"}]
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_parts_after_a_lost_one_are_not_sent_and_all_is_due_again(lost: int) -> None:
+    session, assignments = spoken_for(30)
+    session.partitions.clear()
+    sent: list[set[str] | None] = []
+
+    async def tell(holder: str, machines: set[str] | None) -> bool:
+        sent.append(machines)
+        return len(sent) <= lost
+
+    assignments._tell = tell  # type: ignore[method-assign]
+    whole = assignments._parts
+    assignments._parts = lambda holder, names: whole(holder, names, 40)  # type: ignore
+    due = set(session.block_of)
+    assignments.due[session.me] = set(due)
+    assignments.syncing.add(session.me)
+    ensureDeferred(assignments._sync(session.me, full=False))
+    assert len(sent) == lost + 1
+    assert assignments.due[session.me] == due
+
+
+class PagedCloud:
+    """Lists machines by pages, and refuses the calls that the test says."""
+
+    def __init__(self, clock: SimClock, count: int, refused: set[int]) -> None:
+        self.clock = clock
+        self.names = [f"host-{n:06d}" for n in range(count)]
+        self.refused = refused
+        self.calls: list[float] = []
+
+    async def machines(self, after: str) -> MachinePage:
+        self.calls.append(self.clock.seconds())
+        if len(self.calls) in self.refused:
+            raise CloudUnavailableError("429")
+        names = [name for name in self.names if name > after]
+        rows = [
+            Rental(name, "10.0.0.1:9000", "big", "east", "running", False, 60.0)
+            for name in names[:500]
+        ]
+        return MachinePage(rows, len(names) > 500)
+
+
+def listed(refused: set[int]) -> tuple[Fleet, PagedCloud, Deferred[None]]:
+    clock, unused = SimClock(), None
+    cloud: Any = PagedCloud(clock, 4000, refused)
+    nobody: Any = unused
+    fleet = Fleet(clock, cloud, nobody, settings(), Timing(settings(), Tuning()), {})
+    done = ensureDeferred(fleet.refresh())
+    clock.advance_to(100.0)
+    return fleet, cloud, done
+
+
+def test_pages_of_the_list_leave_half_of_the_rate() -> None:
+    fleet, cloud, _ = listed(refused=set())
+    assert len(fleet.listed) == fleet.counted == 4000
+    pauses = [b - a for a, b in zip(cloud.calls, cloud.calls[1:], strict=False)]
+    assert len(cloud.calls) == 8 and min(pauses) >= fleet.gap - 1e-9
+
+
+def test_a_refused_page_is_asked_for_again() -> None:
+    fleet, cloud, _ = listed(refused={3, 5, 6})
+    assert len(fleet.listed) == 4000 and len(cloud.calls) == 11
+
+
+def test_a_page_that_stays_refused_ends_the_list_and_keeps_the_count() -> None:
+    fleet, cloud, done = listed(refused=set(range(3, 100)))
+    failures: list[Any] = []
+    done.addErrback(failures.append)
+    assert failures[0].check(CloudUnavailableError)
+    assert len(cloud.calls) == 2 + 1 + PAGE_RETRIES
+    assert fleet.listed == {} and fleet.counted == 1000
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -210,6 +210,8 @@
     # Counted work, which is the same on every machine.
     if "writes" in step:
         assert len(world.state.history) <= step["writes"], (where, len(world.state.history))
+    if "cloud_refusals" in step:
+        assert world.cloud.refused <= step["cloud_refusals"], (where, world.cloud.refused)
     if "peer_kb" in step:
         assert world.network.peer_bytes <= step["peer_kb"] * 1024, (
             where,
