--- a/src/beamspar/cli.py
+++ b/src/beamspar/cli.py
@@ -91,8 +91,22 @@
     type=click.FloatRange(0.0, 10.0),
     help="Free room kept, as a share of each class's tasks.",
 )
+@click.option(
+    "--standby/--no-standby",
+    default=False,
+    show_default=True,
+    envvar="BEAMSPAR_STANDBY",
+    help="Follow the leader's decisions, and take over within seconds when it fails.",
+)
 @click.version_option(__version__, prog_name="beamspar")
-def main(config: str, check: bool, block_size: int, lease_share: float, headroom: float) -> None:
+def main(
+    config: str,
+    check: bool,
+    block_size: int,
+    lease_share: float,
+    headroom: float,
+    standby: bool,
+) -> None:
     """Run one beamspar controller."""
     try:
         settings = load(config)
@@ -102,4 +116,4 @@
     if check:
         click.echo(f"{config}: settings are in order")
         return
-    serve(settings, Tuning(block_size, lease_share, headroom=headroom))
+    serve(settings, Tuning(block_size, lease_share, headroom=headroom, standby=standby))
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -16,11 +16,22 @@
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import Room, allowed, copy, fits_type, fitting, slots
 from beamspar.settings import Settings, Timing
+from beamspar.standby.decision_log import DecisionLog
+from beamspar.standby.decisions import (
+    Booting,
+    LeadState,
+    MachinesReturned,
+    MachinesUp,
+    Place,
+    RentalAbandoned,
+    RentalAsked,
+    RentalGranted,
+    RentalRefused,
+)
 from beamspar.wire import MachineType, Rental, Spec
 
 log = Logger(namespace="fleet")
 
-Place = tuple[str, str, bool]
 # What the cloud takes in one request (PROTOCOL).
 MOST_AT_ONCE = 50
 RETURN_AT_ONCE = 100
@@ -32,13 +43,6 @@
     return place[0], place[2]
 
 
-class Booting(msgspec.Struct):
-    kind: str
-    zone: str
-    spot: bool
-    since: float
-
-
 class Fleet:
     """Owns the leader's picture of the cloud; idle while another leads."""
 
@@ -50,6 +54,7 @@
         settings: Settings,
         timing: Timing,
         types: dict[str, MachineType],
+        decisions: DecisionLog | None = None,
     ) -> None:
         self.clock = clock
         self.cloud = cloud
@@ -62,11 +67,16 @@
         self.listed: dict[str, Rental] = {}
         # Machines that the list names so far, while its pages are being read.
         self.counted = 0
-        self.booting: dict[str, Booting] = {}
-        self.refused: dict[Place, tuple[float, float]] = {}
+        self.decisions = decisions or DecisionLog(clock, LeadState())
+        self.lead = self.decisions.state
+        # Parts of the decided state: changed by decisions, read here.
+        self.booting = self.lead.booting
+        self.refused = self.lead.refused
+        self.returned = self.lead.returned
+        # Rentals of a former leader whose answer it did not live to see.
+        self.inherited: list[RentalAsked] = []
         self.due: set[str] = set()
         self.returning = False
-        self.returned: set[str] = set()
         self.busy = False
         self.listed_at = -1e9
         self.count = 0
@@ -129,7 +139,13 @@
         return (kind.spot_price if room.spot else kind.price) if kind else 0.0
 
     def up(self, name: str) -> None:
-        self.booting.pop(name, None)
+        """The machine reports."""
+        if name in self.booting:
+            self.decisions.decide(MachinesUp([name]))
+
+    def take_over(self) -> None:
+        """Lead from now on, by what the former leader was known to have decided."""
+        self.inherited = list(self.lead.pending.values())
 
     def give_back(self, names: list[str]) -> None:
         """Return machines: together, in calls that leave the cloud's rate to renting."""
@@ -150,13 +166,10 @@
                     log.info("returning {names} waits: {error}", names=names, error=error)
                 else:
                     log.info("returned {names}", names=names)
-                    self.returned.update(names)
-                    for name in names:
-                        # What was refused for want of machines may be had now.
-                        gone = self.listed.get(name) or self.booting.get(name)
-                        if gone is not None:
-                            self.refused.pop((gone.kind, gone.zone, bool(gone.spot)), None)
-                        self.booting.pop(name, None)
+                    # What was refused for want of machines may be had now.
+                    gone = [self.listed.get(name) or self.booting.get(name) for name in names]
+                    freed = {(g.kind, g.zone, bool(g.spot)) for g in gone if g is not None}
+                    self.decisions.decide(MachinesReturned(names, sorted(freed)))
                 await sleep(self.clock, self.gap)
         finally:
             self.returning = False
@@ -268,24 +281,35 @@
         return [(kind, zone, spot) for _, _, kind, zone, spot in sorted(found)]
 
     async def rent(self, place: Place, count: int) -> None:
+        """Rent so many machines, under a name that is never used again."""
         self.count += 1
         name = f"{self.session.me}.{self.session.inc}.{self.count}"
-        kind, zone, spot = place
+        asked = RentalAsked(name, place, count)
+        self.decisions.decide(asked)
+        await self._carry_out(asked)
+
+    async def resume(self) -> None:
+        """Repeat a former leader's rental under its name: it rents once, whoever asks."""
+        asked = self.inherited.pop(0)
+        log.info("rental {name} of a former leader is repeated", name=asked.name)
+        await self._carry_out(asked)
+
+    async def _carry_out(self, asked: RentalAsked) -> None:
+        kind, zone, spot = place = asked.place
         try:
-            names = await self._rent(name, kind, zone, spot, count)
+            names = await self._rent(asked.name, kind, zone, spot, asked.count)
         except NoCapacityError:
             _, pause = self.refused.get(place, (0.0, self.lag / 2))
             pause = min(pause * 2, self.lag * 3)
-            self.refused[place] = (self.clock.seconds() + pause, pause)
+            self.decisions.decide(RentalRefused(asked.name, place, pause))
             log.info("no {kind} in {zone} (spot {spot})", kind=kind, zone=zone, spot=spot)
             return
-        self.refused.pop(place, None)
-        now = self.clock.seconds()
+        except CloudUnavailableError:
+            self.decisions.decide(RentalAbandoned(asked.name))
+            raise
+        pause = self.lag if len(names) < asked.count else 0.0
+        self.decisions.decide(RentalGranted(asked.name, place, names, pause))
         log.info("rented {names} for {place}", names=names, place=place)
-        if len(names) < count:
-            self.refused[place] = (now + self.lag, self.lag)
-        for machine in names:
-            self.booting[machine] = Booting(kind, zone, spot, now)
 
     async def _rent(self, name: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
         """Once more under the same name when the answer was lost: it rents only once."""
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -34,6 +34,7 @@
     trim,
 )
 from beamspar.settings import Settings, Timing, Tuning
+from beamspar.standby.decisions import CacheChanged
 from beamspar.state import (
     URGENT,
     ConflictError,
@@ -110,9 +111,16 @@
         self.reservations = Reservations(timing)
         # What a job of each class that was ever heard of asks for.
         self.shapes: dict[str, Spec] = {}
-        # The cache map: each machine's images, and at which count they changed last.
-        self.caches: dict[str, tuple[dict[str, float], int]] = {}
-        self.caches_count = 0
+        # What was decided beyond the records, the cache map among it; followers have a copy.
+        self.lead = fleet.lead
+        self.decisions = fleet.decisions
+        # A former leader that was confirmed to have failed: its word is not waited for.
+        self.replaced = ""
+        # Called once the first decision may be made.
+        self.on_ready: Callable[[], None] = lambda: None
+        # Until when nothing is decided, for the lead is being handed over.
+        self.paused_until = -1e9
+        self.told_ready = False
         # Members that lost their workers, and until when they get no blocks.
         self.blind: dict[str, float] = {}
         # Idle machines that are to go back, and their holders.
@@ -142,6 +150,8 @@
         """Rebuilt: every live member was heard, or has had the time to speak."""
         if not self.leading or self.leading_since is None or not self.session.valid():
             return False
+        if self.clock.seconds() < self.paused_until:
+            return False
         if self.session.revision < self.elected_at:
             # What a former leader wrote last is not in the mirror yet: a machine that it
             # has leased would look new, and get into a second block.
@@ -152,20 +162,33 @@
         # A fence is kept by all that ever registered; those without a grant are dead.
         known = sum(1 for key in self.session.values if key.startswith("c/fence/"))
         awaited = {m for m in self.session.members if not self._out_of_reach(m)}
+        awaited.discard(self.replaced)
         return known >= self.settings.facts.nodes and awaited <= heard
 
-    async def _elect(self) -> None:
+    async def elect(self, replaces: str = "", failed: bool = True) -> None:
+        """Take the lead: a free one, or that of a leader that has failed or hands it over.
+
+        The compare-and-set on the lead's record settles who of several gets it, and fences the
+        one replaced: all its writes check that record. One that hands over is heard before the
+        first decision, one that has failed is not waited for.
+        """
+        held = self.session.values.get(LEADER, (None, 0))[1] if replaces else 0
+        self.electing = True
         try:
             value = {"name": self.session.me, "inc": self.session.inc}
             permit = await self.state.grant(self.timing.lead)
             revision = await self.state.multi(
-                {LEADER: 0, **self.session.fence()}, [put(LEADER, value, permit)], URGENT
+                {LEADER: held, **self.session.fence()}, [put(LEADER, value, permit)], URGENT
             )
         except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info("not elected: {error}", error=error)
         else:
             self.permit, self.elected_at = permit, revision
+            self.replaced = replaces if failed else ""
+            self.decisions.begin(revision)
+            self.fleet.take_over()
             self.session.learn(LEADER, value, revision)
+            self.leading_since, self.told_ready = self.clock.seconds(), False
             log.info("{me} leads", me=self.session.me)
             spawn(self._keep_leading(permit), "keeping the lead")
         finally:
@@ -191,15 +214,20 @@
             self.leading_since = None
             if not self.electing:
                 self.electing = True
-                spawn(self._elect(), "election")
+                spawn(self.elect(), "election")
             return
         if value.get("name") != self.session.me or value.get("inc") != self.session.inc:
             self.leading_since = None
+            self.decisions.end()
             return
         if self.leading_since is None:
             self.leading_since = now
+            self.told_ready = False
         if not self.ready:
             return
+        if not self.told_ready:
+            self.told_ready = True
+            self.on_ready()
         if not self.leasing:
             self.leasing = True
             spawn(self._lease(), "leasing blocks")
@@ -532,7 +560,7 @@
         retire = [name for name, holder in self.retiring.items() if holder == summary.member]
         caches = {
             name: images
-            for name, (images, count) in self.caches.items()
+            for name, (images, count) in self.lead.caches.items()
             if count > summary.caches_known
         }
         return Directions(
@@ -542,19 +570,18 @@
             per_gpu(self.shapes.values()),
             retire,
             caches,
-            self.caches_count,
+            self.lead.cache_changes,
             sorted(self.reservations.machines(self.clock.seconds())),
         )
 
     def _cached(self, name: str, images: dict[str, float], kind: str = "") -> None:
         """Remember a machine's cache beyond its holder; a new holder knows less of it."""
-        known = self.caches.get(name, ({}, 0))[0]
+        known = self.lead.caches.get(name, ({}, 0))[0]
         if images.keys() - known.keys():
             merged = {**{k: v for k, v in known.items() if k not in images}, **images}
             if kind in self.fleet.types:
                 trim(merged, self.fleet.types[kind])
-            self.caches_count += 1
-            self.caches[name] = (merged, self.caches_count)
+            self.decisions.decide(CacheChanged(name, merged))
 
     def views(self) -> list[View]:
         """Machines as their present holders tell, and only those heard of late."""
@@ -575,7 +602,8 @@
                     found.append(view)
             for name in gone:
                 del picture.views[name]
-                self.caches.pop(name, None)
+                if name in self.lead.caches:
+                    self.decisions.decide(CacheChanged(name, {}))
         return found
 
     def rooms(self) -> list[Room]:
@@ -709,6 +737,9 @@
 
     async def _rent(self) -> None:
         try:
+            if self.fleet.inherited:
+                await self.fleet.resume()
+                return
             plan = self.fleet.plan(self._needs(), [r for r in self.rooms() if r.usable])
             if plan is not None:
                 await self.fleet.rent(*plan)
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -38,10 +38,21 @@
     encode,
 )
 from beamspar.control.owner import Owner
-from beamspar.control.session import Machine, Session
-from beamspar.http import Answer, Call, CallFailedError, Clock, Net, Sockets, sleep, spawn
+from beamspar.control.session import LEADER, Machine, Session
+from beamspar.http import (
+    Answer,
+    Call,
+    CallFailedError,
+    CallRefusedError,
+    Clock,
+    Net,
+    Sockets,
+    sleep,
+    spawn,
+)
 from beamspar.placement import Preference, Room, slow_kinds
 from beamspar.settings import Settings, Timing, Tuning
+from beamspar.standby.standby import Standby
 from beamspar.state import ConflictError, LeaseExpiredError, StateClient, StateUnavailableError, put
 from beamspar.wire import BODY_LIMIT, MachineType, Spec, convert, pack, unpack
 from beamspar.workers import WorkerClient
@@ -71,6 +82,7 @@
         self.owner: Owner | None = None
         self.leader: Leader | None = None
         self.budget: Budget | None = None
+        self.standby: Standby | None = None
         self.peers = {s.member: s.peer_addr for s in settings.siblings}
         self.heard: dict[str, float] = {}
         self.failed: dict[str, float] = {}
@@ -148,10 +160,28 @@
         self.leader, self.budget = leader, budget
         self.heartbeat_known = 0
         session.listeners.append(self._learn_types)
+        self.standby = None
+        if self.tuning.standby:
+            self.standby = Standby(
+                self.clock, session, leader, self.timing, leader.sites, self._deliver
+            )
+            session.listeners.append(self._greet_leader)
         await session.start()
+        if self.standby is not None:
+            self.standby.start()
         await owner.load()
         self.ready = True
 
+    def _greet_leader(self, key: str) -> None:
+        """A new leader decides nothing before it has heard us: tell it all at once."""
+        if key == LEADER and self.session is not None and self.session.leader != self.heartbeat_to:
+            self.clock.callLater(0, self._heartbeat_now)
+
+    def _heartbeat_now(self) -> None:
+        session = self.session
+        if session is not None and session.started and not session.lost:
+            self._heartbeat()
+
     def _rooms(self) -> list[Room]:
         """Our machines' room that the owner here may use without the leader's word."""
         if self.holder is None:
@@ -161,6 +191,7 @@
     def _again(self, session: Session) -> None:
         if session is self.session:
             self.session = self.holder = self.owner = self.leader = self.budget = None
+            self.standby = None
             spawn(self._stand(), "standing")
 
     async def _fetch_types(self) -> None:
@@ -316,7 +347,7 @@
         self.unreached.pop(member, None)
         self.heard[member] = max(self.heard.get(member, 0.0), now)
         if answer.status != 200:
-            raise CallFailedError(f"{member} answered {answer.status}")
+            raise CallRefusedError(f"{member} answered {answer.status}")
         return answer.body
 
     async def tell(self, member: str, path: str, message: Any) -> bool:
@@ -519,6 +550,11 @@
         try:
             if call.path == "/peer/relay":
                 return Answer(200, await self._relayed(call.body))
+            standby = self.standby
+            if standby is not None and standby.session.started and not standby.session.lost:
+                answer = await standby.answer(call.path.removeprefix("/peer/"), call.body)
+                if answer is not None:
+                    return Answer(200, answer)
             return Answer(200, self._dispatch(call.path.removeprefix("/peer/"), call.body))
         except (msgspec.ValidationError, orjson.JSONDecodeError, KeyError) as error:
             log.info("odd message {path}: {error}", path=call.path, error=error)
--- a/src/beamspar/http.py
+++ b/src/beamspar/http.py
@@ -19,6 +19,10 @@
         self.refused = refused
 
 
+class CallRefusedError(CallFailedError):
+    """The other side answered that it does not take this call."""
+
+
 class Call(NamedTuple):
     """A request as its handler gets it."""
 
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -126,6 +126,8 @@
     block_size: int = 0
     lease_share: float = 1.0
     headroom: float = 0.2
+    # Followers of the leader's decisions, one of which takes over within seconds.
+    standby: bool = False
 
 
 # Steady clocks of different machines may drift apart by this share (PROTOCOL).
--- /dev/null
+++ b/src/beamspar/standby/command.py
@@ -0,0 +1,123 @@
+"""The operators' command: who leads, who follows, and handing the lead over.
+
+It speaks to the controllers' addresses for siblings, which the settings file names. Exit statuses:
+0 done, 1 nobody leads or the lead was not handed over, 2 bad settings or usage.
+"""
+
+from __future__ import annotations
+
+import sys
+import urllib.error
+import urllib.request
+from typing import Any
+
+import click
+import msgspec
+import orjson
+
+from beamspar.settings import Settings, SettingsError, load
+from beamspar.standby.messages import HandOverReply
+from beamspar.standby.standby import Status
+
+NOT_DONE, BAD_SETTINGS = 1, 2
+# A hand-over is an election, a controller's answer to a question is much less.
+ANSWER_S, HAND_OVER_S = 2.0, 10.0
+
+
+class NoAnswerError(Exception):
+    """The controller gave no usable answer."""
+
+
+def call(address: str, path: str, message: Any, limit_s: float) -> Any:
+    """Send a message to a controller; its answer. Raises NoAnswerError."""
+    request = urllib.request.Request(
+        f"http://{address}/peer/{path}", data=orjson.dumps(message), method="POST"
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=limit_s) as answer:
+            return orjson.loads(answer.read())
+    except urllib.error.HTTPError as error:
+        raise NoAnswerError(f"answers {error.code}: is the standby on?") from error
+    except (OSError, orjson.JSONDecodeError) as error:
+        raise NoAnswerError(f"does not answer: {error}") from error
+
+
+def addresses(settings: Settings) -> dict[str, str]:
+    """Every controller's address for siblings."""
+    found = {settings.member: settings.peer_bind}
+    found.update({sibling.member: sibling.peer_addr for sibling in settings.siblings})
+    return dict(sorted(found.items()))
+
+
+def statuses(settings: Settings) -> dict[str, Status | str]:
+    """What each controller says of itself, or why it says nothing."""
+    found: dict[str, Status | str] = {}
+    for member, address in addresses(settings).items():
+        try:
+            found[member] = msgspec.convert(call(address, "standby", {}, ANSWER_S), Status)
+        except (NoAnswerError, msgspec.ValidationError) as error:
+            found[member] = str(error)
+    return found
+
+
+def describe(status: Status) -> str:
+    """One line for people."""
+    if status.leading:
+        doing = "decides" if status.deciding else "leads, and confirms who is alive"
+        order = ", ".join(status.succession) or "nobody"
+        return f"{doing}, term {status.term}, {status.index} decisions; next: {order}"
+    copied = f"copied up to {status.index} of term {status.term}, lag {status.lag}"
+    return f"follows {status.leader or 'nobody'}, {copied}"
+
+
+@click.group()
+@click.option("--config", required=True, type=str, help="A controller's settings file (TOML).")
+@click.pass_context
+def main(context: click.Context, config: str) -> None:
+    """Look at the controllers' lead, and hand it over."""
+    try:
+        context.obj = load(config)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(BAD_SETTINGS)
+
+
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
+@click.pass_obj
+def status(settings: Settings, as_json: bool) -> None:
+    """Who leads and who follows; exits with 1 if nobody decides."""
+    found = statuses(settings)
+    if as_json:
+        plain = {
+            member: {"error": value} if isinstance(value, str) else msgspec.to_builtins(value)
+            for member, value in found.items()
+        }
+        click.echo(orjson.dumps(plain).decode())
+    else:
+        for member, value in found.items():
+            click.echo(f"{member}: {value if isinstance(value, str) else describe(value)}")
+    if not any(isinstance(value, Status) and value.deciding for value in found.values()):
+        sys.exit(NOT_DONE)
+
+
+@main.command("hand-over")
+@click.option("--to", default="", help="The controller that shall lead; else the first in order.")
+@click.pass_obj
+def hand_over(settings: Settings, to: str) -> None:
+    """Let another controller lead, for instance before this one is restarted."""
+    leaders = [v for v in statuses(settings).values() if isinstance(v, Status) and v.deciding]
+    if not leaders:
+        click.echo("nobody decides", err=True)
+        sys.exit(NOT_DONE)
+    address = addresses(settings)[leaders[0].member]
+    try:
+        raw = call(address, "hand-over", {"to": to}, HAND_OVER_S)
+        reply = msgspec.convert(raw, HandOverReply)
+    except (NoAnswerError, msgspec.ValidationError) as error:
+        click.echo(f"{leaders[0].member}: {error}", err=True)
+        sys.exit(NOT_DONE)
+    if not reply.done:
+        click.echo(f"not handed over: {reply.reason}", err=True)
+        sys.exit(NOT_DONE)
+    click.echo(f"{reply.leader} leads")
--- /dev/null
+++ b/src/beamspar/standby/standby.py
@@ -0,0 +1,313 @@
+"""The standby: follows the leader's decisions and takes the lead when the leader has failed."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from twisted.logger import Logger
+
+from beamspar.control.leader import Leader
+from beamspar.control.messages import Pulse, decode, encode
+from beamspar.control.session import LEADER, Session
+from beamspar.http import CallFailedError, CallRefusedError, Clock, sleep, spawn
+from beamspar.settings import Timing
+from beamspar.standby.decision_log import DecisionLog, Replica, StaleTermError
+from beamspar.standby.failure_detector import FailureDetector
+from beamspar.standby.messages import (
+    FollowReply,
+    FollowRequest,
+    HandOverReply,
+    HandOverRequest,
+    ProbeReply,
+    ProbeRequest,
+    TakeLeadReply,
+    TakeLeadRequest,
+)
+
+log = Logger(namespace="standby")
+
+# Sends a message to a member's path and returns the body of its answer; raises CallFailedError.
+Send = Callable[[str, str, Any, float], Awaitable[bytes]]
+
+
+class Status(msgspec.Struct, frozen=True):
+    """What a controller's standby says of itself."""
+
+    member: str
+    leader: str | None
+    leading: bool
+    # It leads and has confirmed who is alive: it makes decisions.
+    deciding: bool
+    term: int
+    index: int
+    lag: int
+    succession: list[str]
+    takeovers: int
+
+
+class Standby:
+    """Owns this controller's copy of the decision log, and its wish to take the lead.
+
+    While another controller leads, it asks that one for new decisions, and when the answers
+    cease it has the failure confirmed and takes the lead. While this controller leads, it
+    answers the followers. One lasts as long as the session that it was made for.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        leader: Leader,
+        timing: Timing,
+        zones: dict[str, str],
+        send: Send,
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.leader = leader
+        self.timing = timing
+        self.zones = zones
+        self.send = send
+        self.log: DecisionLog = leader.decisions
+        self.replica = Replica(clock, self.log.state)
+        self.detector = FailureDetector(clock, timing, self._reach, self._ask)
+        self.succession: list[str] = []
+        # When the lead was last taken from one that held it, as far as we saw.
+        self.takeovers: list[float] = []
+        self.led_by: str | None = None
+        session.listeners.append(self._changed)
+        leader.on_ready = self._ready
+
+    def start(self) -> None:
+        """Follow until the session is lost."""
+        spawn(self._following(), "following the leader")
+
+    # -- the leader's side
+
+    def follow(self, request: FollowRequest) -> FollowReply:
+        """Answer a follower; one that does not lead says so by its term."""
+        if not self.leader.leading:
+            return FollowReply()
+        return self.log.answer(request, self._succession())
+
+    def _succession(self) -> list[str]:
+        """Followers heard of late: the most complete first, of another zone, the least busy."""
+        now = self.clock.seconds()
+        home = self.zones.get(self.session.me)
+        held = dict.fromkeys(self.log.followers, 0)
+        for block in self.session.blocks.values():
+            if block.holder in held:
+                held[block.holder] += len(block.machines)
+        ranked = [
+            (self.log.index - follower.index, self.zones.get(member) == home, held[member], member)
+            for member, follower in self.log.followers.items()
+            if now - follower.heard_at < self.timing.report and member in self.session.members
+        ]
+        return [member for *_, member in sorted(ranked)]
+
+    async def hand_over(self, request: HandOverRequest) -> HandOverReply:
+        """Let a follower that has the whole log take the lead, in order.
+
+        Nothing is decided meanwhile. If no follower takes it, this controller goes on.
+        """
+        if not self.leader.ready:
+            return HandOverReply(False, self.session.leader or "", "this controller does not lead")
+        now = self.clock.seconds()
+        # Long enough for the followers to catch up, and for one of them to be elected.
+        self.leader.paused_until = now + self.timing.call * 3
+        try:
+            successor = await self._complete_follower(request.to, now + self.timing.call)
+            if successor is None:
+                return HandOverReply(False, self.session.me, "no such follower has the whole log")
+            index = self.log.followers[successor].index
+            take = TakeLeadRequest(self.session.me, self.log.term, index)
+            body = await self.send(successor, "take-lead", take, self.timing.call * 2)
+            taken = decode(body, TakeLeadReply).taken
+        except (CallFailedError, ValueError) as error:
+            log.info("not handed over: {error}", error=error)
+            return HandOverReply(False, self.session.me, "the follower did not answer")
+        finally:
+            self.leader.paused_until = self.clock.seconds()
+        if not taken:
+            return HandOverReply(False, self.session.me, f"{successor} could not take the lead")
+        log.info("the lead is handed over to {member}", member=successor)
+        return HandOverReply(True, successor)
+
+    async def _complete_follower(self, wanted: str, until: float) -> str | None:
+        """The first in order, or the one that is wanted, once it has all that is decided by now."""
+        index = self.log.index
+        while True:
+            for member in self._succession():
+                if wanted in ("", member) and self.log.followers[member].index >= index:
+                    return member
+            if self.clock.seconds() >= until:
+                return None
+            await sleep(self.clock, self.timing.heartbeat / 4)
+
+    async def take_lead(self, request: TakeLeadRequest) -> TakeLeadReply:
+        """The leader hands over to us: take the lead, if we have all that it decided."""
+        complete = self.replica.term == request.term and self.replica.index >= request.index
+        if not complete or self.session.leader != request.member or self.leader.electing:
+            return TakeLeadReply(False)
+        await self.leader.elect(replaces=request.member, failed=False)
+        return TakeLeadReply(self.session.leader == self.session.me)
+
+    def _ready(self) -> None:
+        """The first decision may be made: say what it will be based on."""
+        heard = sorted(
+            member
+            for member, picture in self.leader.pictures.items()
+            if self.leader.leading_since is not None and picture.at >= self.leader.leading_since
+        )
+        log.info(
+            "{me} decides in term {term}: copied up to {index} of {was}, lag {lag}, "
+            "confirmed by {heard}",
+            me=self.session.me,
+            term=self.log.term,
+            index=self.replica.index,
+            was=self.replica.term,
+            lag=self.replica.lag,
+            heard=heard,
+        )
+
+    # -- the follower's side
+
+    async def _following(self) -> None:
+        while not self.session.lost:
+            leader = self.session.leader
+            if leader is None or leader == self.session.me or not self.session.valid():
+                await sleep(self.clock, self.timing.heartbeat)
+                continue
+            pause_s = self.timing.heartbeat / 2
+            try:
+                if await self._fetch(leader):
+                    pause_s /= 10
+            except CallRefusedError as error:
+                # It is there: an earlier release, or one that registers anew.
+                log.debug("{leader} has no log: {error}", leader=leader, error=error)
+                pause_s = self.timing.heartbeat * 2
+            except (CallFailedError, ValueError) as error:
+                log.debug("following {leader}: {error}", leader=leader, error=error)
+                if leader == self.session.leader and not self.session.lost:
+                    await self._suspect(leader)
+            await sleep(self.clock, pause_s)
+
+    async def _fetch(self, leader: str) -> bool:
+        """Ask for what we lack; says whether there is more."""
+        request = self.replica.request(self.session.me)
+        body = await self.send(leader, "follow", request, self.timing.heartbeat * 2)
+        reply: FollowReply = decode(body, FollowReply)
+        if not reply.term:
+            # It does not lead yet, or not any more.
+            return False
+        if self.session.leader == self.session.me:
+            # We took the lead meanwhile: a former leader's word counts no more.
+            return False
+        try:
+            more = self.replica.take(reply)
+        except StaleTermError as error:
+            log.info("entries of {leader} are refused: {error}", leader=leader, error=error)
+            self.replica.restart()
+            return True
+        self.succession = reply.succession
+        return more
+
+    async def _suspect(self, leader: str) -> None:
+        """The leader does not answer: confirm that it has failed, in turn take the lead."""
+        log.info("{leader} is suspected", leader=leader)
+        record = self.session.values.get(LEADER, (None, 0))
+        me = self.session.me
+        rank = self.succession.index(me) if me in self.succession else len(self.succession)
+        if rank:
+            # Who is preferred goes first; the others only step in for it.
+            await sleep(self.clock, self.timing.heartbeat * 2 * rank)
+        if not self._may_take_over():
+            return
+        others = sorted(self.session.members - {me, leader})
+        if not await self.detector.has_failed(leader, others):
+            return
+        if self.session.lost or not self.session.valid() or self.leader.electing:
+            return
+        if self.session.values.get(LEADER, (None, 0))[0] != record[0]:
+            log.info("the lead has passed on meanwhile")
+            return
+        log.warn(
+            "{leader} has failed: {me} takes the lead, copied up to {index} of term {term}",
+            leader=leader,
+            me=me,
+            index=self.replica.index,
+            term=self.replica.term,
+        )
+        await self.leader.elect(replaces=leader)
+
+    def _may_take_over(self) -> bool:
+        """Takeovers that follow each other closely have to wait, twice as long each time."""
+        now = self.clock.seconds()
+        recent = [at for at in self.takeovers if now - at < self.timing.worker_lease * 8]
+        self.takeovers = recent
+        if len(recent) < 2:
+            return True
+        return now - recent[-1] > self.timing.lead * 2.0 ** (len(recent) - 2)
+
+    def _changed(self, key: str) -> None:
+        if key != LEADER:
+            return
+        leader = self.session.leader
+        if leader is not None and self.led_by is not None and leader != self.led_by:
+            self.takeovers.append(self.clock.seconds())
+        self.led_by = leader if leader is not None else self.led_by
+
+    # -- probes
+
+    async def _reach(self, member: str) -> bool:
+        try:
+            decode(await self.send(member, "pulse", {}, self.timing.heartbeat * 2), Pulse)
+        except (CallFailedError, ValueError) as error:
+            log.debug("{member} is not reached: {error}", member=member, error=error)
+            return False
+        return True
+
+    async def _ask(self, member: str, suspect: str) -> bool | None:
+        limit_s = self.timing.heartbeat * 3
+        try:
+            body = await self.send(member, "probe", ProbeRequest(suspect), limit_s)
+            reply: ProbeReply = decode(body, ProbeReply)
+        except (CallFailedError, ValueError) as error:
+            log.debug("{member} does not say: {error}", member=member, error=error)
+            return None
+        return reply.reachable
+
+    async def probe(self, request: ProbeRequest) -> ProbeReply:
+        """Find out for another member whether we can reach one."""
+        return ProbeReply(await self._reach(request.member))
+
+    def status(self) -> Status:
+        """What operators are shown."""
+        leading = self.leader.leading
+        return Status(
+            self.session.me,
+            self.session.leader,
+            leading,
+            self.leader.ready,
+            self.log.term if leading else self.replica.term,
+            self.log.index if leading else self.replica.index,
+            0 if leading else self.replica.lag,
+            self._succession() if leading else self.succession,
+            len(self.takeovers),
+        )
+
+    async def answer(self, name: str, body: bytes) -> bytes | None:
+        """Answer a sibling's message, if it is one of the standby's."""
+        if name == "follow":
+            return encode(self.follow(decode(body, FollowRequest)))
+        if name == "probe":
+            return encode(await self.probe(decode(body, ProbeRequest)))
+        if name == "hand-over":
+            return encode(await self.hand_over(decode(body, HandOverRequest)))
+        if name == "take-lead":
+            return encode(await self.take_lead(decode(body, TakeLeadRequest)))
+        if name == "standby":
+            return encode(self.status())
+        return None
--- /dev/null
+++ b/tests/kill_leader.py
@@ -0,0 +1,248 @@
+"""Kills the leader of a loopback deployment again and again, and tells how soon another decides.
+
+    PYTHONPATH=src:. python -m tests.kill_leader --kills 50 --report target/takeovers
+
+Prints a line for each kill and one JSON object at the end. With `--report`, writes the distribution
+(an HDR histogram) as a page with a plot.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import orjson
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.threads import deferToThread
+
+from beamspar.http import CallFailedError, sleep
+from beamspar.tcp import steady_reactor
+
+ROOT = Path(__file__).resolve().parent.parent
+POLL_S = 0.05
+# How long a deployment may take to decide, at the start and after a kill.
+PATIENCE_S = 60.0
+ZONES = ["east", "west", "south"]
+
+
+class Takeover(msgspec.Struct):
+    """One kill of the leader, and who decided next."""
+
+    killed: str
+    successor: str
+    seconds: float
+    follower_held: bool
+    lag: int
+
+
+class CommandRun(msgspec.Struct):
+    """A call of the operators' command: its exit status and what it printed."""
+
+    words: list[str]
+    status: int
+    printed: str
+
+
+class Result(msgspec.Struct):
+    """What a run shows; the rules are judged by the stand-ins' checker."""
+
+    takeovers: list[Takeover]
+    broken: list[str]
+    unfinished: list[str]
+    accepted: int
+    load_before: float
+    load_after: float
+    commands: list[CommandRun]
+
+
+class Killer:
+    """Drives one run on a deployment."""
+
+    def __init__(self, world: Any, kills: int, dice: random.Random) -> None:
+        self.world = world
+        self.kills = kills
+        self.dice = dice
+        self.jobs = 0
+        self.submitting = True
+
+    async def status(self, name: str) -> dict[str, Any] | None:
+        """What the controller's standby says of itself; None when it does not answer."""
+        try:
+            answer = await self.world.network.request(
+                "tool", "POST", f"{name}:81", "/peer/standby", b"{}", 0.5
+            )
+        except CallFailedError:
+            return None
+        found: dict[str, Any] | None = orjson.loads(answer.body) if answer.status == 200 else None
+        return found
+
+    async def deciding(self, term: int = 0, but: str = "") -> dict[str, Any]:
+        """Wait for a controller that decides in a later term."""
+        clock = self.world.clock
+        since = clock.seconds()
+        while clock.seconds() - since < PATIENCE_S:
+            asked = [ensureDeferred(self.status(n)) for n in self.world.names if n != but]
+            for waiting in asked:
+                status = await waiting
+                if status is not None and status["deciding"] and status["term"] > term:
+                    return status
+            await sleep(clock, POLL_S)
+        raise TimeoutError(f"nobody decides after term {term}")
+
+    def submit(self) -> None:
+        """Steady submissions, and cancellations of some."""
+        if not self.submitting:
+            return
+        job = f"j-{self.jobs}"
+        self.jobs += 1
+        shape = self.dice.choice(["standing", "sweep", "sweep"])
+        run_s = self.dice.choice([1.0, 4.0])
+        self.world.submit(job, shape=shape, parcels=self.dice.randint(1, 3), run_s=run_s)
+        if shape == "standing" or self.dice.random() < 0.2:
+            self.world.clock.callLater(self.dice.uniform(0.5, 15.0), self.world.withdraw, job)
+        self.world.clock.callLater(self.dice.uniform(0.3, 1.2), self.submit)
+
+    async def kill_once(self) -> Takeover:
+        """Kill the one that decides, at a random moment, and wait for the next."""
+        clock = self.world.clock
+        await sleep(clock, self.dice.uniform(0.0, 2.0))
+        status = await self.deciding()
+        name = status["member"]
+        followers = status["succession"]
+        held = followers[0] if followers and self.dice.random() < 0.25 else ""
+        if held:
+            # It falls behind, and wakes as the leader is gone.
+            self.world.hold(held, True)
+            await sleep(clock, 1.0)
+        killed_at = clock.seconds()
+        self.world.crash(name, self.dice.choice([0.5, 3.0, 6.0]))
+        if held:
+            self.world.hold(held, False)
+        after = await self.deciding(status["term"])
+        seconds = clock.seconds() - killed_at
+        return Takeover(name, after["member"], seconds, bool(held), after["lag"])
+
+    async def settled(self) -> None:
+        """All controllers answer and follow again, or one and a half leases are over."""
+        since = self.world.clock.seconds()
+        while self.world.clock.seconds() - since < 25.0:
+            statuses = [await self.status(name) for name in self.world.names]
+            leading = [s for s in statuses if s is not None and s["deciding"]]
+            if all(statuses) and leading and len(leading[0]["succession"]) == len(statuses) - 1:
+                return
+            await sleep(self.world.clock, 0.2)
+
+    async def command(self, *words: str) -> CommandRun:
+        """Run the operators' command beside the deployment, which goes on meanwhile."""
+        config = str(self.world.settings_file(self.world.names[0]))
+        line = [sys.executable, "beamsparctl.py", "--config", config, *words]
+        done = await deferToThread(
+            subprocess.run, line, cwd=ROOT, capture_output=True, text=True, timeout=30
+        )
+        return CommandRun(list(words), done.returncode, done.stdout + done.stderr)
+
+    async def run(self) -> Result:
+        """The whole run: kills, then quiet, then judgement."""
+        load_before = os.getloadavg()[0]
+        takeovers = []
+        await self.deciding()
+        self.submit()
+        for number in range(self.kills):
+            await self.settled()
+            takeovers.append(await self.kill_once())
+            click.echo(f"kill {number + 1}: {takeovers[-1]}", err=True)
+        await self.settled()
+        commands = [
+            await self.command("status"),
+            await self.command("hand-over"),
+            await self.command("status", "--json"),
+        ]
+        self.submitting = False
+        load_after = os.getloadavg()[0]
+        await sleep(self.world.clock, 40.0)
+        unfinished = [
+            job
+            for job, spec in self.world.checker.jobs.items()
+            if spec["shape"] == "sweep" and self.world.status(job) not in ("done", "withdrawn")
+        ]
+        return Result(
+            takeovers,
+            list(self.world.checker.broken),
+            unfinished,
+            len(self.world.checker.accepted),
+            load_before,
+            load_after,
+            commands,
+        )
+
+
+def write_report(result: Result, folder: Path) -> None:
+    """The distribution as a page with a plot."""
+    import pygal
+    from hdrh.histogram import HdrHistogram
+
+    histogram = HdrHistogram(1, 120_000, 3)
+    for takeover in result.takeovers:
+        histogram.record_value(int(takeover.seconds * 1000))
+    shares = [10, 25, 50, 75, 90, 95, 99, 100]
+    values = [histogram.get_value_at_percentile(share) for share in shares]
+    chart = pygal.Line(title="Kill of the leader to the next one that decides (ms)")
+    chart.x_labels = [f"{share} %" for share in shares]
+    chart.add("milliseconds", values)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "result.json").write_bytes(orjson.dumps(msgspec.to_builtins(result)))
+    rows = "".join(
+        f"<tr><td>{s} %</td><td>{v} ms</td></tr>" for s, v in zip(shares, values, strict=True)
+    )
+    (folder / "index.html").write_text(
+        f"<!doctype html><title>Takeovers</title><h1>{len(result.takeovers)} kills</h1>"
+        f"<p>Load of the machine: {result.load_before:.1f} before, {result.load_after:.1f} after."
+        f" Rules broken: {len(result.broken)}; unfinished jobs: {len(result.unfinished)}.</p>"
+        f"<table>{rows}</table>{chart.render(is_unicode=True, disable_xml_declaration=True)}"
+    )
+
+
+@click.command()
+@click.option("--kills", default=50, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--seed", default=1, show_default=True, type=int)
+@click.option("--report", default=None, type=click.Path(path_type=Path))
+def main(kills: int, seed: int, report: Path | None) -> None:
+    """Kill the leader again and again."""
+    reactor: Any = steady_reactor()
+    from tests.standins.loopback import LoopbackWorld, deploy_line
+
+    dice = random.Random(seed)
+    world = LoopbackWorld(
+        reactor,
+        seed,
+        deploy_line(),
+        workers={"lease_s": 17.0, "cancel_s": 47.0},
+        state={"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 24},
+        capacity=[{"kind": "small", "zone": zone, "count": 4} for zone in ZONES],
+        machines=[{"kind": "small", "zone": zone, "count": 4} for zone in ZONES],
+    )
+    results: list[Result] = []
+    failures: list[str] = []
+    done: Deferred[Result] = ensureDeferred(Killer(world, kills, dice).run())
+    done.addCallbacks(results.append, lambda failure: failures.append(failure.getTraceback()))
+    done.addBoth(lambda _: reactor.stop())
+    try:
+        reactor.run()
+    finally:
+        world.stop()
+    if not results:
+        click.echo("\n".join(failures) or "ended early", err=True)
+        sys.exit(1)
+    if report is not None:
+        write_report(results[0], report)
+    click.echo(orjson.dumps(msgspec.to_builtins(results[0])).decode())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/history.py
@@ -0,0 +1,91 @@
+"""Checks the history of leaders: their logs, the copies of these, and what they stored."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from beamspar.standby.decision_log import DecisionLog, Replica
+from beamspar.standby.decisions import Decision
+from beamspar.standby.messages import FollowReply
+
+BLOCK, LEADER = "c/block/", "c/leader"
+
+
+class LeadHistory:
+    """Collects what is decided and copied; a contradiction is an entry in `faults`."""
+
+    def __init__(self) -> None:
+        self.entries: dict[tuple[int, int], Decision] = {}
+        self.applied: dict[int, tuple[int, int]] = {}
+        self.faults: list[str] = []
+
+    def decided(self, term: int, index: int, decision: Decision) -> None:
+        """A leader has numbered a decision: nobody else may use that number."""
+        if (term, index) in self.entries:
+            self.faults.append(f"two decisions are {term}.{index}")
+        self.entries[(term, index)] = decision
+
+    def copied(self, replica: int, term: int, index: int, decision: Decision) -> None:
+        """A follower has applied an entry: the leader's, in order, once."""
+        if self.entries.get((term, index)) != decision:
+            self.faults.append(f"{term}.{index} is not what was decided")
+        before = self.applied.get(replica)
+        if before is not None and (term < before[0] or (term, index - 1) != before):
+            self.faults.append(f"{term}.{index} is applied after {before}")
+        self.applied[replica] = (term, index)
+
+    def restored(self, replica: int, term: int, index: int) -> None:
+        """A follower has taken a snapshot that stands for this index."""
+        before = self.applied.get(replica)
+        if before is not None and (term, index) < before:
+            self.faults.append(f"a snapshot of {term}.{index} replaces {before}")
+        self.applied[replica] = (term, index)
+
+    def stored(self, history: list[tuple[int, dict[str, Any]]]) -> None:
+        """Blocks change only in writes that renew the lead's record, one leader at a time,
+        and no machine is ever in two blocks."""
+        by_revision: dict[int, list[dict[str, Any]]] = {}
+        for revision, event in history:
+            by_revision.setdefault(revision, []).append(event)
+        blocks: dict[str, list[str]] = {}
+        for revision, events in sorted(by_revision.items()):
+            changed = [e for e in events if (e.get("put") or e["drop"]).startswith(BLOCK)]
+            for event in changed:
+                machines = [m["name"] for m in event["data"]["machines"]] if "put" in event else []
+                blocks[event.get("put") or event["drop"]] = machines
+            if changed and not any(event.get("put") == LEADER for event in events):
+                self.faults.append(f"blocks change without the lead at {revision}")
+            names = [name for machines in blocks.values() for name in machines] if changed else []
+            if len(names) != len(set(names)):
+                self.faults.append(f"a machine is in two blocks at {revision}")
+
+
+@contextmanager
+def watched() -> Iterator[LeadHistory]:
+    """All logs and copies made meanwhile are checked."""
+    history = LeadHistory()
+    decide, take = DecisionLog.decide, Replica.take
+
+    def watched_decide(log: DecisionLog, decision: Decision) -> None:
+        decide(log, decision)
+        if log.term:
+            history.decided(log.term, log.index, decision)
+
+    def watched_take(replica: Replica, reply: FollowReply) -> bool:
+        before = replica.index
+        more = take(replica, reply)
+        if reply.snapshot and reply.last and not replica.parts and replica.term == reply.term:
+            history.restored(id(replica), reply.term, reply.snapshot_index)
+        for entry in [] if reply.snapshot else reply.entries:
+            if entry.index > before:
+                history.copied(id(replica), reply.term, entry.index, entry.decision)
+        return more
+
+    with (
+        mock.patch.object(DecisionLog, "decide", watched_decide),
+        mock.patch.object(Replica, "take", watched_take),
+    ):
+        yield history
--- /dev/null
+++ b/tests/standins/loopback.py
@@ -0,0 +1,199 @@
+"""A deployment of real processes: controllers by the deploy line, all else served over TCP.
+
+The stand-ins and their users are those of the simulated deployment, on the real reactor.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from beamspar.http import Answer, Handler, Sockets
+from beamspar.http_server import Site
+from beamspar.tcp import RealNet
+from tests.standins.net import Network
+from tests.standins.workers import Worker
+from tests.standins.world import World
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+HOST = "127.0.0.1"
+BODY_LIMIT = 4 * 1024 * 1024
+SETTINGS = """\
+member = "{member}"
+site = "{site}"
+public_addr = "{public_addr}"
+peer_bind = "{peer_bind}"
+{siblings}
+[services]
+cloud = "{cloud}"
+state = "{state}"
+[facts]
+nodes = {nodes}
+zones = {zones}
+teams = [{{ name = "red" }}, {{ name = "blue" }}]
+[facts.workers]
+report_s = {report_s}
+lease_s = {lease_s}
+cancel_s = {cancel_s}
+[facts.state]
+rps = {rps}
+write_rps = {write_rps}
+value_kb = {value_kb}
+txn_ops = {txn_ops}
+[facts.cloud]
+rps = 3.0
+list_lag_s = 8.0
+"""
+SIBLING = '[[siblings]]\nmember = "{member}"\nsite = "{site}"\npeer_addr = "{peer_addr}"\n'
+
+
+class LoopbackClock:
+    """The reactor's steady time, from the start of the deployment."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self.began = reactor.seconds()
+
+    def seconds(self) -> float:
+        return float(self.reactor.seconds() - self.began)
+
+    def callLater(self, delay: float, f: Any, *args: Any, **kw: Any) -> Any:  # noqa: N802
+        return self.reactor.callLater(max(delay, 0.0), f, *args, **kw)
+
+
+class LoopbackNetwork(Network):
+    """Carries calls over TCP; each address of the simulation stands for a port."""
+
+    def __init__(self, clock: Any, dice: Any, reactor: Any) -> None:
+        super().__init__(clock, dice)
+        self.reactor = reactor
+        self.ports: dict[str, int] = {}
+        self.net = RealNet(reactor, 1.5, 15.0, Sockets.of(10_000, 3))
+
+    def real(self, address: str) -> str:
+        """Where the address is served."""
+        if address not in self.ports:
+            with socket.socket() as probe:
+                probe.bind((HOST, 0))
+                self.ports[address] = probe.getsockname()[1]
+        return f"{HOST}:{self.ports[address]}"
+
+    def serve(self, host: str, address: str, handler: Handler) -> None:
+        self.alive.add(host)
+        self.real(address)
+        site = Site(self.reactor, handler, BODY_LIMIT, 1000, 60.0)
+        self.reactor.listenTCP(self.ports[address], site, 256, HOST)
+
+    def request(
+        self,
+        source: str,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        limit_s: float,
+    ) -> Deferred[Answer]:
+        return self.net.request(method, self.real(address), path, body, limit_s)
+
+
+class LoopbackWorker(Worker):
+    """A worker that tells the port at which it takes orders."""
+
+    def message(self) -> dict[str, Any]:
+        network: Any = self.network
+        return {**super().message(), "address": network.real(self.address)}
+
+
+class LoopbackWorld(World):
+    """The deployment. The reactor runs it; `stop` ends the controllers' processes."""
+
+    def __init__(self, reactor: Any, seed: int, run_line: list[str], **options: Any) -> None:
+        self.reactor = reactor
+        self.run_line = run_line
+        self.folder = Path(tempfile.mkdtemp(prefix="beamspar-loopback-"))
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        super().__init__(seed, **options)
+
+    def make_clock(self) -> Any:
+        return LoopbackClock(self.reactor)
+
+    def make_network(self) -> Network:
+        return LoopbackNetwork(self.clock, self.dice, self.reactor)
+
+    def _new_worker(self, machine: dict[str, Any], kind: dict[str, Any]) -> Worker:
+        return LoopbackWorker(
+            self.clock, self.network, self.checker, self.dice, machine["id"], kind,
+            machine["yard"], machine["standby"], self.workers_facts, self.addresses, self.gangs,
+        )  # fmt: skip
+
+    def settings_file(self, name: str) -> Path:
+        """The settings of one controller, as the platform would hand them over."""
+        raw = self.raw_settings[name]
+        network: Any = self.network
+        text = SETTINGS.format(
+            member=name,
+            site=raw["site"],
+            public_addr=network.real(raw["public_addr"]),
+            peer_bind=network.real(raw["peer_bind"]),
+            siblings="".join(
+                SIBLING.format(
+                    member=sibling["member"],
+                    site=sibling["site"],
+                    peer_addr=network.real(sibling["peer_addr"]),
+                )
+                for sibling in raw["siblings"]
+            ),
+            cloud=network.real("cloud:1"),
+            state=network.real("state:1"),
+            nodes=raw["facts"]["nodes"],
+            zones=raw["facts"]["zones"],
+            report_s=float(self.workers_facts["report_s"]),
+            lease_s=float(self.workers_facts["lease_s"]),
+            cancel_s=float(self.workers_facts["cancel_s"]),
+            **{key: raw["facts"]["state"][key] for key in ("value_kb", "txn_ops")},
+            **{key: raw["facts"]["state"][key] for key in ("rps", "write_rps")},
+        )
+        path = self.folder / f"{name}.toml"
+        path.write_text(text)
+        return path
+
+    def boot(self, name: str) -> None:
+        self.network.alive.add(name)
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [*self.run_line, str(self.settings_file(name))],
+                cwd=ROOT,
+                stderr=log,
+                env={**os.environ, "LOG_LEVEL": "info"},
+            )
+
+    def crash(self, name: str, back_s: float | None = 6.0) -> None:
+        """Kill the process without a signal that it could heed."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+        super().crash(name, back_s)
+
+    def hold(self, name: str, on: bool) -> None:
+        """Stop the process in its tracks, or let it go on."""
+        self.processes[name].send_signal(signal.SIGSTOP if on else signal.SIGCONT)
+
+    def stop(self) -> None:
+        """End all controllers."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+def deploy_line(file: str = "standby.toml") -> list[str]:
+    """The line that runs the service, as a file below `deploy/` has it."""
+    deploy = tomllib.loads((ROOT / "deploy" / file).read_text())
+    return [sys.executable, *deploy["run"].split()[1:]]
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -37,9 +37,9 @@
 
 class World:
     def __init__(self, seed: int = 1, **options: Any) -> None:
-        self.clock = SimClock()
+        self.clock = self.make_clock()
         self.dice = random.Random(seed)
-        self.network = Network(self.clock, self.dice)
+        self.network = self.make_network()
         self.workers_facts = {
             "report_s": 3.0, "lease_s": 15.0, "cancel_s": 45.0,
             "gang_wait_s": 30.0, "gang_peer_s": 4.0, **options.get("workers", {})
@@ -129,6 +129,14 @@
         self._sweep()
         self._lead()
 
+    def make_clock(self) -> Any:
+        """The clock of everything outside the controllers."""
+        return SimClock()
+
+    def make_network(self) -> Network:
+        """What carries the calls."""
+        return Network(self.clock, self.dice)
+
     def _committed(self, keys: list[str], writer: Writer | None) -> None:
         """Stored jobs fit stored shares after each write, unless production's release wrote it.
 
--- /dev/null
+++ b/tests/test_decision_log.py
@@ -0,0 +1,193 @@
+"""The leader's log and its copies: order, gaps, snapshots, older terms, bounded memory."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from beamspar.control.messages import PEER_LIMIT, decode, encode
+from beamspar.standby.decision_log import (
+    ENTRIES_AT_ONCE,
+    LOG_ENTRIES,
+    DecisionLog,
+    Replica,
+    StaleTermError,
+)
+from beamspar.standby.decisions import (
+    CacheChanged,
+    Decision,
+    LeadState,
+    MachinesReturned,
+    MachinesUp,
+    Place,
+    RentalAbandoned,
+    RentalAsked,
+    RentalGranted,
+    RentalRefused,
+)
+from beamspar.standby.messages import Entry, FollowReply
+from tests.standins.clock import SimClock
+
+PLACES: list[Place] = [("big", "east", False), ("small", "west", True)]
+
+
+def pair() -> tuple[SimClock, DecisionLog, Replica]:
+    clock = SimClock()
+    log = DecisionLog(clock, LeadState())
+    log.begin(7)
+    return clock, log, Replica(clock, LeadState())
+
+
+def catch_up(log: DecisionLog, replica: Replica, most: int = 100) -> int:
+    """Ask and take, over the wire's form, until there is no more; how many messages it took."""
+    for count in range(1, most):
+        reply = log.answer(replica.request("rig-1"), [])
+        body = encode(reply)
+        assert len(body) < PEER_LIMIT
+        if not replica.take(decode(body, FollowReply)):
+            return count
+    raise AssertionError("never caught up")
+
+
+def some_decision(dice: random.Random, number: int) -> Decision:
+    place = dice.choice(PLACES)
+    name = f"rig-0.1.{dice.randrange(20)}"
+    machines = [f"host-{dice.randrange(50)}"]
+    return dice.choice(
+        [
+            RentalAsked(name, place, 3),
+            RentalGranted(name, place, machines, dice.choice([0.0, 8.0])),
+            RentalRefused(name, place, 4.0),
+            RentalAbandoned(name),
+            MachinesUp(machines),
+            MachinesReturned(machines, [place]),
+            CacheChanged(machines[0], dice.choice([{}, {f"image-{number}": 2.0}])),
+        ]
+    )
+
+
+def plain(state: LeadState, now: float) -> object:
+    """The state in a form that can be compared; times to the microsecond."""
+    return (
+        state.pending,
+        {m: (b.kind, b.zone, b.spot, round(b.since, 6)) for m, b in state.booting.items()},
+        {p: (round(until - now, 6), pause) for p, (until, pause) in state.refused.items()},
+        state.returned,
+        {machine: images for machine, (images, _) in state.caches.items()},
+    )
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_copy_equals_the_original_however_it_was_caught_up(seed: int) -> None:
+    dice = random.Random(seed)
+    clock, log, replica = pair()
+    for number in range(600):
+        log.decide(some_decision(dice, number))
+        clock.advance_to(clock.now + dice.random())
+        if dice.random() < 0.05:
+            catch_up(log, replica)
+            assert plain(replica.state, clock.now) == plain(log.state, clock.now)
+            assert (replica.term, replica.index, replica.lag) == (7, log.index, 0)
+        if dice.random() < 0.02:
+            # Its process was started anew, or another term began.
+            replica = Replica(clock, LeadState())
+
+
+def test_each_entry_is_applied_once_and_in_order() -> None:
+    _, log, replica = pair()
+    catch_up(log, replica)
+    log.decide(RentalAsked("r-1", PLACES[0], 1))
+    reply = log.answer(replica.request("rig-1"), [])
+    replica.take(reply)
+    log.decide(RentalAbandoned("r-1"))
+    replica.take(log.answer(replica.request("rig-1"), []))
+    # A late copy of the first answer must not bring the request back.
+    replica.take(reply)
+    assert replica.index == 2 and replica.state.pending == {}
+
+
+def test_a_gap_is_noticed_and_mended_by_a_snapshot() -> None:
+    _, log, replica = pair()
+    catch_up(log, replica)
+    log.decide(RentalAsked("r-1", PLACES[0], 1))
+    with pytest.raises(StaleTermError, match="gap"):
+        replica.take(FollowReply(7, 3, [Entry(3, 0.0, RentalAbandoned("r-1"))]))
+    assert replica.state.pending == {} and replica.index == 0
+    catch_up(log, replica)
+    assert set(replica.state.pending) == {"r-1"} and replica.index == 1
+
+
+def test_entries_of_an_older_term_are_refused() -> None:
+    _, log, replica = pair()
+    log.decide(RentalAsked("r-1", PLACES[0], 1))
+    catch_up(log, replica)
+    old = DecisionLog(SimClock(), LeadState())
+    old.begin(6)
+    old.decide(RentalAsked("r-old", PLACES[0], 1))
+    with pytest.raises(StaleTermError, match="over"):
+        replica.take(old.answer(replica.request("rig-1"), []))
+    assert set(replica.state.pending) == {"r-1"}
+    replica.restart()
+    with pytest.raises(StaleTermError, match="over"):
+        replica.take(old.answer(replica.request("rig-1"), []))
+
+
+def test_a_new_term_begins_with_a_snapshot_though_the_index_is_the_same() -> None:
+    clock, log, replica = pair()
+    log.decide(RentalAsked("r-1", PLACES[0], 1))
+    catch_up(log, replica)
+    successor = DecisionLog(clock, LeadState())
+    successor.begin(9)
+    successor.decide(RentalAsked("r-2", PLACES[0], 1))
+    catch_up(successor, replica)
+    assert set(replica.state.pending) == {"r-2"} and replica.term == 9
+
+
+def test_a_follower_that_lags_costs_bounded_memory_and_gets_a_snapshot() -> None:
+    _, log, replica = pair()
+    catch_up(log, replica)
+    for number in range(LOG_ENTRIES * 3):
+        log.decide(CacheChanged(f"host-{number}", {"image": 1.0}))
+    assert len(log.kept) == LOG_ENTRIES
+    messages = catch_up(log, replica)
+    assert messages == -(-LOG_ENTRIES * 3 // ENTRIES_AT_ONCE)
+    assert replica.state.caches.keys() == log.state.caches.keys()
+    assert log.transfers.keys() <= {"rig-1"}
+
+
+def test_decisions_during_a_snapshot_follow_it() -> None:
+    _, log, replica = pair()
+    for number in range(ENTRIES_AT_ONCE + 10):
+        log.decide(CacheChanged(f"host-{number}", {"image": 1.0}))
+    assert replica.take(log.answer(replica.request("rig-1"), []))
+    log.decide(CacheChanged("host-0", {}))
+    log.decide(CacheChanged("host-new", {"image": 1.0}))
+    catch_up(log, replica)
+    assert replica.state.caches.keys() == log.state.caches.keys()
+    assert replica.index == log.index
+
+
+def test_a_snapshot_that_begins_anew_replaces_the_parts_of_the_one_before() -> None:
+    _, log, replica = pair()
+    for number in range(ENTRIES_AT_ONCE * 2):
+        log.decide(CacheChanged(f"host-{number}", {"image": 1.0}))
+    assert replica.take(log.answer(replica.request("rig-1"), []))
+    assert len(replica.parts) == ENTRIES_AT_ONCE
+    # The leader has forgotten the transfer: a successor with other machines.
+    log.begin(8)
+    log.decide(CacheChanged("host-0", {}))
+    catch_up(log, replica)
+    assert "host-0" not in replica.state.caches
+    assert replica.state.caches.keys() == log.state.caches.keys()
+
+
+def test_who_does_not_lead_tells_nothing() -> None:
+    _, log, replica = pair()
+    log.decide(RentalAsked("r-1", PLACES[0], 1))
+    log.end()
+    reply = log.answer(replica.request("rig-1"), ["rig-1"])
+    assert reply == FollowReply()
+    # Decisions of others are applied by the same state, without a number.
+    log.decide(RentalAbandoned("r-1"))
+    assert log.index == 0 and not log.kept and log.state.pending == {}
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,63 @@
+"""The checker of leaders' histories finds what it is for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from beamspar.standby.decisions import MachinesUp, RentalAbandoned
+from tests.standins.history import LeadHistory
+
+ONE, OTHER = MachinesUp(["host-1"]), RentalAbandoned("r-1")
+
+
+def block(revision: int, name: str, *machines: str, lead: bool = True) -> list[Any]:
+    data = {"holder": "rig-0", "machines": [{"name": machine} for machine in machines]}
+    events = [(revision, {"put": f"c/block/{name}", "data": data, "entry_rev": revision})]
+    if lead:
+        events.append((revision, {"put": "c/leader", "data": {}, "entry_rev": revision}))
+    return events
+
+
+def test_a_sound_history_has_no_faults() -> None:
+    history = LeadHistory()
+    history.decided(5, 1, ONE)
+    history.decided(5, 2, OTHER)
+    history.restored(1, 5, 0)
+    history.copied(1, 5, 1, ONE)
+    history.copied(1, 5, 2, OTHER)
+    history.restored(1, 9, 0)
+    history.stored(block(3, "a", "host-1") + block(4, "a", "host-1", "host-2"))
+    assert history.faults == []
+
+
+@pytest.mark.parametrize(
+    ("says", "steps"),
+    [
+        ("two decisions", [("decided", 5, 1, ONE), ("decided", 5, 1, OTHER)]),
+        ("not what was decided", [("decided", 5, 1, ONE), ("copied", 1, 5, 1, OTHER)]),
+        (
+            "is applied after",
+            [("decided", 5, 1, ONE), ("copied", 1, 5, 1, ONE), ("copied", 1, 5, 1, ONE)],
+        ),
+        (
+            "is applied after",
+            [("decided", 5, 2, ONE), ("restored", 1, 5, 0), ("copied", 1, 5, 2, ONE)],
+        ),
+        (
+            "is applied after",
+            [("decided", 4, 1, ONE), ("restored", 1, 5, 0), ("copied", 1, 4, 1, ONE)],
+        ),
+        ("replaces", [("restored", 1, 5, 7), ("restored", 1, 5, 6)]),
+        ("replaces", [("restored", 1, 5, 0), ("restored", 1, 4, 9)]),
+        ("without the lead", [("stored", block(3, "a", "host-1", lead=False))]),
+        ("in two blocks", [("stored", block(3, "a", "host-1") + block(4, "b", "host-1"))]),
+    ],
+)
+def test_a_fault_is_found(says: str, steps: list[tuple[Any, ...]]) -> None:
+    history = LeadHistory()
+    for name, *arguments in steps:
+        assert history.faults == [], "found before the step that is wrong"
+        getattr(history, name)(*arguments)
+    assert any(says in fault for fault in history.faults), history.faults
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.standins.history import watched
 from tests.standins.world import ZONES, World
 
 SEEDS = range(int(os.environ.get("BEAMSPAR_SEEDS", "6")))
@@ -171,6 +172,14 @@
     play(7000 + seed, 1, slow=True)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_faults_with_a_warm_standby(seed: int) -> None:
+    with watched() as history:
+        world = play(9000 + seed, 1, standby=True)
+    history.stored(world.state.history)
+    assert history.faults == []
+
+
 def slow_down(world: World, dice: random.Random) -> None:
     """Each controller's processor takes none, some or most of its time for what comes in."""
     for name in world.names:
@@ -230,11 +239,14 @@
 NEXT = {"value_kb": 1.0, "txn_ops": 4, "write_rps": 40.0}
 
 
-def play(seed: int, size: int, upgrade: bool = False, slow: bool = False) -> None:
+def play(
+    seed: int, size: int, upgrade: bool = False, slow: bool = False, standby: bool = False
+) -> World:
     dice = random.Random(seed)
     slow_dice = random.Random(seed)
     world = World(
         seed,
+        tuning={"standby": standby},
         old="all" if upgrade else [],
         state={"next": NEXT} if upgrade else {},
         teams=[{"name": "red", "cpus_max": 12.0}, {"name": "blue"}],
@@ -272,3 +284,4 @@
     calm_down(world)
     world.run(world.clock.seconds() + 200)
     verify(world)
+    return world
