--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -28,6 +28,7 @@
 
 
 def check(root: Path) -> int:
+    """Play the known red tests and print how each ended; 0 if all is as the list says."""
     found = entries(root)
     bad = 0
     if len(found) > MOST:
@@ -42,6 +43,7 @@
 
 
 def main(arguments: list[str]) -> int:
+    """Print the flags that leave the known red tests out, or play them."""
     root = Path(__file__).resolve().parent.parent
     if arguments == ["--deselect"]:
         print(" ".join(f"--deselect={test}" for test, _ in entries(root)))
--- a/src/beamspar/cloud.py
+++ b/src/beamspar/cloud.py
@@ -50,6 +50,7 @@
         return answer.status, data
 
     async def types(self) -> list[MachineType]:
+        """Machine types with their present prices."""
         _, data = await self._call("GET", "/machine_types")
         try:
             found: list[MachineType] = convert(data.get("rig_kinds"), list[MachineType])
@@ -58,6 +59,7 @@
         return found
 
     async def rent(self, name: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        """Rent up to so many machines; a name that was granted before gives the same answer."""
         body = {"hire": name, "rig_kind": kind, "yard": zone, "standby": spot, "how_many": count}
         _, data = await self._call("POST", "/rentals", body)
         rigs = data.get("rigs")
@@ -66,6 +68,7 @@
         return [str(r) for r in rigs]
 
     async def give_back(self, names: list[str]) -> None:
+        """Return machines; once this returns, they and all on them are gone."""
         await self._call("POST", "/rentals/return", {"rigs": names})
 
     async def machines(self, after: str) -> MachinePage:
--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -36,11 +36,13 @@
 
 
 def reply(status: int, data: Any = None, retry_s: int = 0) -> Answer:
+    """An answer with a MessagePack body."""
     headers = (("retry-after", str(retry_s)),) if retry_s else ()
     return Answer(status, pack(data if data is not None else {}), headers)
 
 
 def busy(retry_s: float = 1.0) -> Answer:
+    """Too much is in hand: asks to come back."""
     return reply(503, {"error": "try again"}, max(math.ceil(retry_s), 1))
 
 
@@ -60,6 +62,7 @@
         self.most_cached = max(int(node.settings.facts.limits.memory_mb * 25), 1000)
 
     async def handle(self, call: Call, relayed: bool = False) -> Answer:
+        """Answer a request of a user, a worker or the load balancer."""
         parts = call.path.strip("/").split("/")
         if call.path == "/v1/report":
             return self._report(call) if call.method == "POST" else reply(405)
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -135,6 +135,7 @@
             await sleep(self.clock, self.gap)
 
     def price(self, room: Room) -> float:
+        """What the machine costs an hour."""
         kind = self.types.get(room.kind)
         return (kind.spot_price if room.spot else kind.price) if kind else 0.0
 
--- a/src/beamspar/control/held_machine.py
+++ b/src/beamspar/control/held_machine.py
@@ -78,6 +78,7 @@
         self.calm = False
 
     def unfetched(self, key: Key, want: Want) -> bool:
+        """Does the attempt still wait for its image?"""
         report = self.tasks.get(key)
         if report is None:
             return want.image not in self.images
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -471,11 +471,11 @@
                 commands.append(order_stop(key[0], key[1], grace))
         for key, task in machine.tasks.items():
             want = machine.wants.get(key)
-            if task.status == "ended" and not machine.in_doubt(key):
-                # After a clear the worker has forgotten the attempt, so a start
-                # still under way would run it once more: never clear in doubt.
-                if (want and want.action == CLEAR) or key in machine.unwanted:
-                    commands.append(order_clear(key[0], key[1]))
+            # After a clear the worker has forgotten the attempt, so a start
+            # still under way would run it once more: never clear in doubt.
+            clearable = task.status == "ended" and not machine.in_doubt(key)
+            if clearable and ((want and want.action == CLEAR) or key in machine.unwanted):
+                commands.append(order_clear(key[0], key[1]))
         return commands
 
     def _starts(self, machine: HeldMachine) -> list[dict[str, Any]]:
--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -84,14 +84,17 @@
 
     @property
     def id(self) -> str:
+        """The job's ID."""
         return self.spec.id
 
     @property
     def bound(self) -> int:
+        """How many tasks are on a machine, or on their way there."""
         return sum(1 for t in self.tasks.values() if t.machine is not None)
 
     @property
     def running(self) -> int:
+        """How many tasks were seen to run."""
         return sum(1 for t in self.tasks.values() if t.machine is not None and t.state == "running")
 
     @property
@@ -101,6 +104,7 @@
         return self.spec.rank - 1 + 1 / (1 + self.spec.image_gb)
 
     def is_done(self, index: int) -> bool:
+        """Has the task completed?"""
         return index in self.done.get(index // self.per, ())
 
     def phase(self, now: float) -> Phase:
@@ -178,6 +182,7 @@
         return zones, machines
 
     def chunk(self, number: int) -> Chunk:
+        """What a chunk's record says of its tasks."""
         low, high = number * self.per, min((number + 1) * self.per, self.spec.tasks)
         chunk = Chunk(done=records.ranges(sorted(self.done.get(number, ()))))
         for index in range(low, min(high, self.untouched)):
@@ -205,6 +210,7 @@
         self.limit_use.change_layout(index // layout.per for index in bound)
 
     def record(self) -> dict[str, Any]:
+        """The job's own record, the first chunk in it."""
         record = JobRecord(
             msgspec.to_builtins(self.spec),
             self.partition,
--- a/src/beamspar/control/job_writer.py
+++ b/src/beamspar/control/job_writer.py
@@ -260,10 +260,10 @@
                 job.chunk_versions[number] = version
         for index, attempt, machine in marks:
             task = job.tasks.get(index)
-            if task and task.attempt == attempt and task.machine == machine and machine:
-                if not task.stored:
-                    task.stored = True
-                    self.book.touch(machine)
+            same = task and task.attempt == attempt and task.machine == machine
+            if task and same and machine and not task.stored:
+                task.stored = True
+                self.book.touch(machine)
         for index in finished:
             job.tasks.pop(index, None)
         self._completed(job, binding)
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -143,6 +143,7 @@
 
     @property
     def leading(self) -> bool:
+        """Does this controller lead, as far as its mirror tells?"""
         return self.leading_since is not None and self.session.leader == self.session.me
 
     @property
@@ -206,6 +207,7 @@
             await sleep(self.clock, self.timing.lead / 4)
 
     def tick(self) -> None:
+        """Stand for election, or see to what is due while leading."""
         if not self.session.valid():
             return
         now = self.clock.seconds()
@@ -531,6 +533,7 @@
     # -- summaries and loans
 
     def heartbeat(self, summary: Summary) -> Directions:
+        """Take in a member's heartbeat; answer with what it should do."""
         now = self.clock.seconds()
         picture = self.pictures.get(summary.member)
         if picture is None or picture.inc != summary.inc or summary.since == 0:
@@ -607,6 +610,7 @@
         return found
 
     def rooms(self) -> list[Room]:
+        """Room on the machines that were heard of, less what was lent there."""
         now = self.clock.seconds()
         rooms = []
         for view in self.views():
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -55,6 +55,8 @@
 
 
 class Status(msgspec.Struct, array_like=True):
+    """The state of one attempt, as its holder tells its owner."""
+
     machine: str
     number: int
     task: str
@@ -65,6 +67,8 @@
 
 
 class Statuses(msgspec.Struct):
+    """States of attempts that an owner should know of."""
+
     statuses: list[Status]
 
 
@@ -80,17 +84,23 @@
 
 
 class Asks(msgspec.Struct):
+    """The room that one member asks the leader for."""
+
     member: str
     asks: list[Ask]
 
 
 class Placed(msgspec.Struct, array_like=True):
+    """Room for one task of a job; `evict`: once lower work there has stopped."""
+
     job: str
     machine: str
     evict: bool = False
 
 
 class Offers(msgspec.Struct):
+    """The leader's answer to a request for room."""
+
     offers: list[Placed]
 
 
@@ -174,6 +184,8 @@
 
 
 class Relayed(msgspec.Struct):
+    """The answer to a relayed request."""
+
     status: int
     data: Any = None
     headers: list[tuple[str, str]] = []
@@ -194,8 +206,10 @@
 
 
 def encode(message: Any) -> bytes:
+    """A message as bytes."""
     return orjson.dumps(msgspec.to_builtins(message, builtin_types=()))
 
 
 def decode(body: bytes, kind: Any) -> Any:
+    """A message of that kind; raises ValidationError or JSONDecodeError if it is none."""
     return msgspec.convert(orjson.loads(body), kind)
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -242,6 +242,7 @@
     # -- standing
 
     def acting(self) -> bool:
+        """Is this controller registered, loaded, and within its lease?"""
         return self.ready and self.session is not None and self.session.valid()
 
     def healthy(self) -> bool:
@@ -296,6 +297,7 @@
         return encode(Relayed(answer.status, unpack(answer.body), list(answer.headers)))
 
     def reachable(self, member: str) -> bool:
+        """Was the member heard since a call to it failed last?"""
         return self.failed.get(member, -1.0) <= self.heard.get(member, 0.0)
 
     def saw(self, machine: Machine) -> None:
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -242,6 +242,7 @@
     # -- what holders say
 
     def statuses(self, statuses: list[Status]) -> None:
+        """Take in what holders tell of our attempts."""
         touched: dict[str, Job] = {}
         for status in statuses:
             job = self._status(status)
@@ -356,6 +357,7 @@
         job.again.clear()
 
     def tick(self) -> None:
+        """See to what is due: writes, placing, repeated messages."""
         self.writer.tick()
         for name in (self.session.withdrawn | self.session.told.keys()) & self.jobs.keys():
             self.apply_cancellation(name)
--- a/src/beamspar/control/records.py
+++ b/src/beamspar/control/records.py
@@ -37,6 +37,8 @@
 
 
 class JobRecord(msgspec.Struct):
+    """A job that is not over."""
+
     spec: dict[str, Any] = msgspec.field(name="s")
     partition: str = msgspec.field(name="f")
     status: str = msgspec.field(name="st", default=LIVE)
@@ -49,19 +51,24 @@
 
 
 class EndRecord(msgspec.Struct):
+    """What stays of a job that is over."""
+
     status: str = msgspec.field(name="st")
     done: int = msgspec.field(name="n", default=0)
 
 
 def job_key(job: str) -> str:
+    """The key of a job that is not over."""
     return f"job/{job}"
 
 
 def end_key(job: str) -> str:
+    """The key of what stays of a job."""
     return f"end/{job}"
 
 
 def mark_key(job: str) -> str:
+    """The key that marks a job as cancelled and not over."""
     return f"c/w/{job}"
 
 
@@ -79,9 +86,11 @@
         return None if self.first else self.per
 
     def prefix(self, job: str) -> str:
+        """Where the chunks of a job lie."""
         return f"task/{job}/" if self.first else f"task/{job}/{self.per}/"
 
     def key(self, job: str, chunk: int) -> str:
+        """The key of one chunk."""
         return f"{self.prefix(job)}{chunk}"
 
     def number(self, job: str, key: str) -> int | None:
@@ -101,6 +110,7 @@
 
 
 def layout_of(record: JobRecord, facts: StateFacts) -> Layout:
+    """The layout that a job's record was written in."""
     return Layout(record.per) if record.per else first_layout(facts)
 
 
@@ -128,11 +138,13 @@
 
 
 def read_job(item: Item) -> JobRecord:
+    """The job's record; raises ValidationError."""
     record: JobRecord = msgspec.convert(item.value, JobRecord)
     return record
 
 
 def read_spec(record: JobRecord) -> Spec:
+    """What the user submitted; raises ValidationError."""
     spec: Spec = msgspec.convert(record.spec, Spec)
     return spec
 
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -126,6 +126,7 @@
 
     @property
     def fence_key(self) -> str:
+        """The key of this controller's own fence."""
         return f"c/fence/{self.me}"
 
     @property
@@ -164,10 +165,12 @@
         return True
 
     def partition_fence(self, partition: str) -> dict[str, int]:
+        """The condition that a partition is still owned as the mirror has it."""
         record = self.partitions.get(partition)
         return {PARTITION + partition: record.version if record else 0}
 
     def is_withdrawn(self, job: str) -> bool:
+        """Has the job's user cancelled it?"""
         return job in self.withdrawn or job in self.told
 
     def learn_cancelled(self, jobs: dict[str, int]) -> None:
@@ -191,10 +194,12 @@
 
     @property
     def leader(self) -> str | None:
+        """Who leads by the mirror; None while nobody does."""
         value = self.values.get(LEADER)
         return str(value[0].get("name")) if value and isinstance(value[0], dict) else None
 
     def holder_of(self, machine: str) -> tuple[str, int] | None:
+        """Who holds the machine, and under which number."""
         block = self.blocks.get(self.block_of.get(machine, ""))
         return (block.holder, block.number) if block else None
 
--- a/src/beamspar/http.py
+++ b/src/beamspar/http.py
@@ -54,6 +54,7 @@
 
     @classmethod
     def of(cls, total: int, nodes: int) -> Sockets:
+        """The shares of so many sockets."""
         public, peers, orders = (max(int(total * share), 1) for share in (0.55, 0.08, 0.15))
         # All siblings may call one of them at a time.
         return cls(public, peers, orders, max(peers // max(nodes - 1, 1), 1))
@@ -68,6 +69,7 @@
         self.peers = DeferredSemaphore(sockets.to_peers)
 
     async def through(self, path: str, call: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Make the call when a place for its kind is free."""
         if path == "/orders":
             gate = self.orders
         elif path.startswith("/peer/"):
@@ -107,9 +109,11 @@
 class Clock(Protocol):
     """Steady time and timers: the reactor, or a test's simulated clock."""
 
-    def seconds(self) -> float: ...
+    def seconds(self) -> float:
+        """Steady time, in seconds from any beginning."""
 
-    def callLater(self, delay: float, f: Callable[..., Any], *args: Any) -> Any: ...  # noqa: N802
+    def callLater(self, delay: float, f: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
+        """Call the function after the delay; the result can cancel that."""
 
 
 def spawn(work: Coroutine[Any, Any, Any], what: str) -> Deferred[Any]:
@@ -120,6 +124,7 @@
 
 
 def sleep(clock: Clock, delay: float) -> Deferred[None]:
+    """A Deferred that fires after the delay."""
     done: Deferred[None] = Deferred()
     clock.callLater(delay, done.callback, None)
     return done
--- a/src/beamspar/http_server.py
+++ b/src/beamspar/http_server.py
@@ -100,6 +100,7 @@
         self.said_at = -1e9
 
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """A connection comes in; None turns it away."""
         if self.open >= self.most:
             self.turned_away += 1
             now = self.clock.seconds()
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -40,6 +40,7 @@
     fetching: int = 0
 
     def take(self, spec: Spec) -> None:
+        """Reckon with one more task of the job here."""
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
@@ -58,6 +59,7 @@
 
 
 def fits_type(spec: Spec, kind: MachineType) -> bool:
+    """Could an empty machine of this type take a task of the job?"""
     if spec.kinds is not None and kind.name not in spec.kinds:
         return False
     if spec.zone is not None and spec.zone not in kind.zones:
@@ -83,6 +85,7 @@
 
 
 def has_room(spec: Spec, room: Room) -> bool:
+    """Is there room for a task of the job now?"""
     return (
         spec.cpus <= room.cpus + EPS
         and spec.gpus <= room.gpus + EPS
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -12,17 +12,23 @@
 
 
 class Sibling(msgspec.Struct, frozen=True):
+    """Another controller."""
+
     member: str
     peer_addr: str
     site: str = ""
 
 
 class Services(msgspec.Struct, frozen=True):
+    """Addresses of the cloud and the state service."""
+
     cloud: str
     state: str
 
 
 class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; 0 means none."""
+
     name: str
     cpus: float = 0.0
     cpus_max: float = 0.0
@@ -31,6 +37,8 @@
 
 
 class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
+    """An aim for one class of jobs."""
+
     kind: str = ""
     job_class: str = ""
     within_s: float = 0.0
@@ -38,6 +46,8 @@
 
 
 class WorkerFacts(msgspec.Struct, frozen=True):
+    """Intervals and leases of workers."""
+
     report_s: float
     lease_s: float
     cancel_s: float
@@ -80,17 +90,23 @@
 
 
 class CloudFacts(msgspec.Struct, frozen=True):
+    """Limits of the cloud's interface."""
+
     rps: float
     list_lag_s: float
 
 
 class Limits(msgspec.Struct, frozen=True):
+    """What one controller's process may use."""
+
     cores: float = 1.0
     memory_mb: float = 256.0
     sockets: int = 1000
 
 
 class Facts(msgspec.Struct, frozen=True):
+    """What holds for the whole deployment."""
+
     workers: WorkerFacts
     state: StateFacts
     cloud: CloudFacts
@@ -110,6 +126,8 @@
 
 
 class Settings(msgspec.Struct, frozen=True):
+    """The settings file of one controller."""
+
     member: str
     public_addr: str
     peer_bind: str
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -43,12 +43,16 @@
 
 
 class Item(msgspec.Struct):
+    """A key with its value and version."""
+
     key: str
     value: Any = msgspec.field(name="data")
     version: int = msgspec.field(name="entry_rev")
 
 
 class Event(msgspec.Struct):
+    """A change that a watch tells of."""
+
     version: int = msgspec.field(name="entry_rev")
     put: str | None = None
     drop: str | None = None
@@ -201,6 +205,7 @@
         return answer.status, data if isinstance(data, dict) else {}
 
     async def get(self, key: str, priority: int = ACCEPT) -> Item | None:
+        """One key; None if it does not exist."""
         await self._admit(priority, 0)
         status, data = await self._call("GET", f"/store/{key}", None, self.limit_s, False)
         if status == 404:
@@ -280,6 +285,7 @@
         return revision
 
     async def grant(self, life_s: float) -> int:
+        """A new lease of this length; its ID."""
         await self._admit(URGENT, 0)
         body = {"life_ms": int(life_s * 1000)}
         status, data = await self._call("POST", "/grants", body, self.limit_s, True)
@@ -289,6 +295,7 @@
         return permit
 
     async def extend(self, permit: int) -> None:
+        """Renew a lease; raises LeaseExpiredError if it has ended."""
         await self._admit(URGENT, 0)
         path = f"/grants/{permit}/extend"
         status, _ = await self._call("POST", path, {}, self.limit_s, True)
@@ -312,6 +319,7 @@
 
 
 def put(key: str, value: Any, permit: int | None = None) -> dict[str, Any]:
+    """A change that stores a value, on a lease if one is named."""
     change = {"put": key, "data": value}
     if permit is not None:
         change["permit"] = permit
@@ -319,4 +327,5 @@
 
 
 def drop(key: str) -> dict[str, Any]:
+    """A change that removes a key."""
     return {"drop": key}
--- a/src/beamspar/wire.py
+++ b/src/beamspar/wire.py
@@ -17,10 +17,12 @@
 
 
 def pack(data: object) -> bytes:
+    """Data as MessagePack."""
     return _encoder.encode(data)
 
 
 def unpack(body: bytes) -> Any:
+    """Data from MessagePack; raises DecodeError."""
     return msgspec.msgpack.decode(body)
 
 
@@ -54,10 +56,12 @@
 
     @property
     def is_service(self) -> bool:
+        """Do its tasks run until it is cancelled?"""
         return self.shape == "standing"
 
     @property
     def is_gang(self) -> bool:
+        """Do its tasks start together or not at all?"""
         return self.shape == "ensemble"
 
     @property
@@ -67,6 +71,7 @@
 
     @property
     def rank(self) -> int:
+        """Its priority as a number, 0 the highest."""
         return PRIORITIES[self.priority]
 
 
@@ -132,6 +137,8 @@
 
 
 class TaskReport(msgspec.Struct):
+    """One task in a worker's report."""
+
     parcel: str
     attempt: int = msgspec.field(name="try")
     status: str
@@ -158,6 +165,7 @@
 
 
 def parse_report(body: bytes) -> Report:
+    """A worker's report; raises InvalidInputError."""
     try:
         report = _report.decode(body)
     except (msgspec.ValidationError, msgspec.DecodeError) as error:
@@ -168,34 +176,43 @@
 
 
 def order_start(task: str, attempt: int) -> dict[str, Any]:
+    """The order to start an attempt."""
     return {"verb": "start", "parcel": task, "try": attempt}
 
 
 def order_stop(task: str, attempt: int, grace_s: float) -> dict[str, Any]:
+    """The order to stop an attempt, with the time that it has to save."""
     return {"verb": "kill", "parcel": task, "try": attempt, "wind_down_s": grace_s}
 
 
 def order_clear(task: str, attempt: int) -> dict[str, Any]:
+    """The order to forget an attempt that has ended."""
     return {"verb": "clear", "parcel": task, "try": attempt}
 
 
 def orders(token: int, session: int, commands: list[dict[str, Any]]) -> bytes:
+    """The body of a direct command."""
     return pack({"baton": token, "shift": session, "orders": commands})
 
 
 def report_answer(token: int, commands: list[dict[str, Any]]) -> dict[str, Any]:
+    """The answer to a worker's report."""
     return {"baton": token, "orders": commands}
 
 
 def redirect(member: str | None) -> dict[str, Any]:
+    """The answer that sends a worker to another controller, if one is known."""
     return {"dispatcher": member} if member else {}
 
 
 def job_answer(job: str, status: str, done: int = 0, running: int = 0) -> dict[str, Any]:
+    """The answer about a job."""
     return {"id": job, "status": status, "done": done, "running": running}
 
 
 class MachineType(msgspec.Struct):
+    """A machine type, as the cloud tells it."""
+
     name: str = msgspec.field(name="label")
     cpus: float
     gpus: float = msgspec.field(name="accelerators", default=0.0)
@@ -209,6 +226,8 @@
 
 
 class Rental(msgspec.Struct):
+    """A machine in the cloud's list."""
+
     machine: str = msgspec.field(name="id")
     address: str = ""
     kind: str = msgspec.field(name="rig_kind", default="")
--- a/src/beamspar/workers.py
+++ b/src/beamspar/workers.py
@@ -9,6 +9,8 @@
 
 
 class WorkerClient:
+    """Direct commands to workers."""
+
     def __init__(self, net: Net, limit_s: float) -> None:
         self.net = net
         self.limit_s = limit_s
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of beamspar."""
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -129,9 +129,12 @@
     def answered(self, job: str, status: int, data: Any, asked: float | None = None) -> None:
         """An answer; one asked for before the user was told of the end may be older."""
         now = self.clock.seconds()
-        if status == 404 and job in self.accepted:
-            if asked is None or asked >= self.accepted[job]:
-                self.report("forgotten", f"{job} gets 404")
+        if (
+            status == 404
+            and job in self.accepted
+            and (asked is None or asked >= self.accepted[job])
+        ):
+            self.report("forgotten", f"{job} gets 404")
         if status != 200:
             return
         if job not in self.asked:
