A new leader asks for confirmations and lends zone by zone; standby tests see their guards fail

Need: a controller whose mirror is late told a new leader nothing, and room in a confirmed zone waited for the others. Also, guards broken by hand in a copy: that others are asked, that nothing is decided before confirmations, and that takeovers pause, were caught by no test.

Change: the new leader asks every live member for its machines and jobs; Leader.confirmed_zones; the heartbeat's summary is built by one function for both. Only a standby's leader lends by zone.

--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -116,6 +116,8 @@
         self.decisions = fleet.decisions
         # A former leader that was confirmed to have failed: its word is not waited for.
         self.replaced = ""
+        # After a takeover, lend in zones that are confirmed before all of them are.
+        self.lends_by_zone = False
         # Called once the first decision may be made.
         self.on_ready: Callable[[], None] = lambda: None
         # Until when nothing is decided, for the lead is being handed over.
@@ -147,24 +149,48 @@
         return self.leading_since is not None and self.session.leader == self.session.me
 
     @property
-    def ready(self) -> bool:
-        """Rebuilt: every live member was heard, or has had the time to speak."""
-        if not self.leading or self.leading_since is None or not self.session.valid():
+    def in_charge(self) -> bool:
+        """Leads, within its lease, by a mirror that holds its election, and not handing over."""
+        if not self.leading or not self.session.valid():
             return False
         if self.clock.seconds() < self.paused_until:
             return False
-        if self.session.revision < self.elected_at:
-            # What a former leader wrote last is not in the mirror yet: a machine that it
-            # has leased would look new, and get into a second block.
+        # What a former leader wrote last must be in the mirror: a machine that it has leased
+        # would look new, and get into a second block.
+        return self.session.revision >= self.elected_at
+
+    @property
+    def ready(self) -> bool:
+        """Rebuilt: every live member was heard, or has had the time to speak."""
+        if not self.in_charge or self.leading_since is None:
             return False
         if self.clock.seconds() - self.leading_since > self.timing.report:
             return True
-        heard = {m for m, p in self.pictures.items() if p.at >= self.leading_since}
         # A fence is kept by all that ever registered; those without a grant are dead.
         known = sum(1 for key in self.session.values if key.startswith("c/fence/"))
         awaited = {m for m in self.session.members if not self._out_of_reach(m)}
         awaited.discard(self.replaced)
-        return known >= self.settings.facts.nodes and awaited <= heard
+        return known >= self.settings.facts.nodes and awaited <= self.confirmed()
+
+    def confirmed(self) -> set[str]:
+        """Members heard in full since this controller took the lead."""
+        since = self.leading_since
+        return {m for m, p in self.pictures.items() if since is not None and p.at >= since}
+
+    def confirmed_zones(self) -> set[str]:
+        """Zones in which every holder was heard since then, but for a leader that has failed."""
+        if not self.in_charge:
+            return set()
+        known = self.confirmed()
+        zones: set[str] = set()
+        unconfirmed: set[str] = set()
+        for block in self.session.blocks.values():
+            for machine in block.machines:
+                if block.holder in known:
+                    zones.add(machine.zone)
+                elif block.holder != self.replaced:
+                    unconfirmed.add(machine.zone)
+        return zones - unconfirmed
 
     async def elect(self, replaces: str = "", failed: bool = True) -> None:
         """Take the lead: a free one, or that of a leader that has failed or hands it over.
@@ -628,12 +654,17 @@
     def asks(self, member: str, asks: list[Ask]) -> Offers:
         """Lend room: warm machines anywhere first, then the asker's, then any."""
         offers: list[Placed] = []
-        if not self.ready:
+        ready = self.ready
+        zones_open = self.confirmed_zones() if self.lends_by_zone and not ready else set()
+        if not ready and not zones_open:
             return Offers(offers)
         now = self.clock.seconds()
         rooms = self.rooms()
         specs = [msgspec.convert(ask.spec, Spec) for ask in asks]
-        self.reservations.update(list(zip(specs, asks, strict=True)), rooms, now)
+        if ready:
+            self.reservations.update(list(zip(specs, asks, strict=True)), rooms, now)
+        else:
+            rooms = [room for room in rooms if room.zone in zones_open]
         near = {
             machine.name
             for block in self.session.blocks.values()
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -163,7 +163,13 @@
         self.standby = None
         if self.tuning.standby:
             self.standby = Standby(
-                self.clock, session, leader, self.timing, leader.sites, self._deliver
+                self.clock,
+                session,
+                leader,
+                self.timing,
+                leader.sites,
+                self._deliver,
+                self._summary,
             )
             session.listeners.append(self._greet_leader)
         await session.start()
@@ -470,6 +476,26 @@
         leader = session.leader
         if leader is None or not session.valid() or self.sending_heartbeat:
             return
+        if leader != session.me and not self.reachable(leader):
+            # A full picture with each heartbeat to a leader that is down would be wasted.
+            self.heartbeat_known = 0
+            return
+        known = self.heartbeat_known if self.heartbeat_to == leader else 0
+        summary = self._summary(known)
+        self.seen.clear()
+        self.heartbeat_to, self.heartbeat_known = leader, 0
+        if leader == session.me:
+            directions = self.leader.heartbeat(summary)
+            self._follow(directions)
+            if directions.taken:
+                self.heartbeat_known = summary.count
+        else:
+            self.sending_heartbeat = True
+            spawn(self._send_heartbeat(leader, summary), "heartbeat")
+
+    def _classes(self) -> dict[str, JobClass]:
+        """Our live jobs by class."""
+        assert self.owner
         classes: dict[str, JobClass] = {}
         for job in self.owner.jobs.values():
             if job.status == records.LIVE:
@@ -482,35 +508,26 @@
                 for zone, count in zones.items():
                     job_class.zones[zone] = job_class.zones.get(zone, 0) + count
                 job_class.largest = max(job_class.largest, job.spec.tasks)
-        if leader != session.me and not self.reachable(leader):
-            # A full picture with each heartbeat to a leader that is down would be wasted.
-            self.heartbeat_known = 0
-            return
-        known = self.heartbeat_known if self.heartbeat_to == leader else 0
+        return classes
+
+    def _summary(self, known: int = 0) -> Summary:
+        """What changed here after that count of changes; all of it without one."""
+        session = self.session
+        assert session and self.holder
         views, count = self.holder.views(known)
-        summary = Summary(
+        return Summary(
             session.me,
             session.inc,
             views,
             known,
             count,
             [msgspec.to_builtins(m) for m in self.seen.values()],
-            classes,
+            self._classes(),
             self.caches_known if known else 0,
             {} if known else self.caches,
             self._strays(),
             partial=count < self.holder.changes,
         )
-        self.seen.clear()
-        self.heartbeat_to, self.heartbeat_known = leader, 0
-        if leader == session.me:
-            directions = self.leader.heartbeat(summary)
-            self._follow(directions)
-            if directions.taken:
-                self.heartbeat_known = summary.count
-        else:
-            self.sending_heartbeat = True
-            spawn(self._send_heartbeat(leader, summary), "heartbeat")
 
     def _strays(self) -> list[str]:
         """Workers come round every few seconds while nobody answers them."""
--- a/src/beamspar/standby/messages.py
+++ b/src/beamspar/standby/messages.py
@@ -72,6 +72,12 @@
     taken: bool
 
 
+class ConfirmRequest(msgspec.Struct, frozen=True):
+    """A new leader asks for all that the receiver knows of its machines and jobs."""
+
+    member: str
+
+
 class ProbeRequest(msgspec.Struct, frozen=True):
     """Can you reach this member?"""
 
--- a/src/beamspar/standby/standby.py
+++ b/src/beamspar/standby/standby.py
@@ -9,13 +9,14 @@
 from twisted.logger import Logger
 
 from beamspar.control.leader import Leader
-from beamspar.control.messages import Pulse, decode, encode
+from beamspar.control.messages import Pulse, Summary, decode, encode
 from beamspar.control.session import LEADER, Session
 from beamspar.http import CallFailedError, CallRefusedError, Clock, sleep, spawn
 from beamspar.settings import Timing
 from beamspar.standby.decision_log import DecisionLog, Replica, StaleTermError
 from beamspar.standby.failure_detector import FailureDetector
 from beamspar.standby.messages import (
+    ConfirmRequest,
     FollowReply,
     FollowRequest,
     HandOverReply,
@@ -63,6 +64,7 @@
         timing: Timing,
         zones: dict[str, str],
         send: Send,
+        summary: Callable[[], Summary],
     ) -> None:
         self.clock = clock
         self.session = session
@@ -70,6 +72,8 @@
         self.timing = timing
         self.zones = zones
         self.send = send
+        # All that this controller knows of its machines and jobs.
+        self.summary = summary
         self.log: DecisionLog = leader.decisions
         self.replica = Replica(clock, self.log.state)
         self.detector = FailureDetector(clock, timing, self._reach, self._ask)
@@ -79,6 +83,7 @@
         self.led_by: str | None = None
         session.listeners.append(self._changed)
         leader.on_ready = self._ready
+        leader.lends_by_zone = True
 
     def start(self) -> None:
         """Follow until the session is lost."""
@@ -152,6 +157,7 @@
         if not complete or self.session.leader != request.member or self.leader.electing:
             return TakeLeadReply(False)
         await self.leader.elect(replaces=request.member, failed=False)
+        self._confirm_all()
         return TakeLeadReply(self.session.leader == self.session.me)
 
     def _ready(self) -> None:
@@ -241,6 +247,28 @@
             term=self.replica.term,
         )
         await self.leader.elect(replaces=leader)
+        self._confirm_all(but=leader)
+
+    def _confirm_all(self, but: str = "") -> None:
+        """Ask every live member for its machines and jobs.
+
+        They tell by themselves when their mirror names the new leader; one whose mirror is late
+        is not waited for in vain.
+        """
+        if self.leader.leading:
+            for member in sorted(self.session.members - {self.session.me, but}):
+                spawn(self._confirm(member), f"confirming {member}")
+
+    async def _confirm(self, member: str) -> None:
+        request = ConfirmRequest(self.session.me)
+        try:
+            body = await self.send(member, "confirm", request, self.timing.call)
+            summary: Summary = decode(body, Summary)
+        except (CallFailedError, ValueError) as error:
+            log.info("{member} does not confirm: {error}", member=member, error=error)
+            return
+        if self.leader.leading and member not in self.leader.confirmed():
+            self.leader.heartbeat(summary)
 
     def _may_take_over(self) -> bool:
         """Takeovers that follow each other closely have to wait, twice as long each time."""
@@ -304,6 +332,12 @@
             return encode(self.follow(decode(body, FollowRequest)))
         if name == "probe":
             return encode(await self.probe(decode(body, ProbeRequest)))
+        if name == "confirm":
+            decode(body, ConfirmRequest)
+            if not self.session.valid():
+                # What it knows may be another's by now.
+                raise KeyError(name)
+            return encode(self.summary())
         if name == "hand-over":
             return encode(await self.hand_over(decode(body, HandOverRequest)))
         if name == "take-lead":
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -4,9 +4,11 @@
 
 import random
 
+import msgspec
 import pytest
 from twisted.internet.defer import ensureDeferred
 
+from beamspar.control.messages import Ask
 from beamspar.standby.decisions import MachinesUp
 from beamspar.standby.messages import (
     HandOverReply,
@@ -14,7 +16,9 @@
     TakeLeadReply,
     TakeLeadRequest,
 )
+from beamspar.wire import Spec
 from tests.standins.history import watched
+from tests.standins.state import Writer
 from tests.standins.world import ZONES, World
 
 TAKEOVER_S = 5.0
@@ -36,6 +40,11 @@
     return name if ready else None
 
 
+def takeovers(world: World) -> int:
+    """How often the lead was taken from one that held it, as the controllers saw it."""
+    return max(len(node.standby.takeovers) for node in world.nodes.values())
+
+
 def takeover_s(world: World, old: str, limit_s: float = 30.0) -> float:
     """How long until another than this one decides."""
     since = world.clock.seconds()
@@ -83,8 +92,7 @@
     old = world.leader()
     world.network.cost_s[old] = 0.06
     world.run(world.clock.seconds() + 60.0)
-    assert world.leader() == old
-    assert [node.standby.takeovers for node in world.nodes.values()] == [[], [], []]
+    assert world.leader() == old and takeovers(world) == 0
 
 
 @pytest.mark.parametrize("mode", ["drop", "hold"])
@@ -94,7 +102,7 @@
     follower = next(name for name in world.names if name != old)
     world.network.cut(follower, old, mode)
     world.run(world.clock.seconds() + 40.0)
-    assert world.leader() == old
+    assert world.leader() == old and takeovers(world) == 0
 
 
 def test_who_is_cut_off_from_all_others_takes_nothing() -> None:
@@ -106,7 +114,7 @@
         if other != alone:
             world.network.cut(alone, other, "drop")
     world.run(world.clock.seconds() + 40.0)
-    assert world.leader() == old
+    assert world.leader() == old and takeovers(world) == 0
 
 
 def test_the_last_two_of_three_replace_each_other() -> None:
@@ -362,3 +370,62 @@
     world.crash(leader, None)
     assert takeover_s(world, leader) < TAKEOVER_S
     assert world.checker.broken == []
+
+
+def test_a_member_whose_mirror_is_late_is_asked_by_the_new_leader() -> None:
+    """It still takes the old one for the leader and tells the new one nothing by itself."""
+    world = deployment()
+    old = world.leader()
+    followers = world.nodes[old].standby.status().succession
+    # Watches of the other one come late: the lead's record is in them.
+    world.state.late_watches[followers[1]] = 2.5
+    world.crash(old, None)
+    assert takeover_s(world, old) < 2.0
+    new = world.nodes[followers[0]]
+    assert world.leader() == followers[0]
+    assert followers[1] in new.leader.confirmed()
+    assert world.nodes[followers[1]].session.leader == old
+
+
+def test_room_is_lent_in_a_zone_that_is_confirmed_before_the_others() -> None:
+    world = deployment(machines=[{"kind": "small", "zone": z, "count": 3} for z in ZONES])
+    old = world.leader()
+    first, third = world.nodes[old].standby.status().succession
+    committed = world.state.on_commit
+
+    def freeze_third(keys: list[str], writer: Writer | None) -> None:
+        """The third stands still from the takeover on: its zone stays unconfirmed."""
+        committed(keys, writer)
+        if "c/leader" in keys and world.leader() == first and third not in world.network.frozen:
+            world.network.frozen[third] = world.clock.seconds() + 8.0
+
+    world.state.on_commit = freeze_third
+    world.crash(old, None)
+    while world.leader() != first:
+        world.run(world.clock.seconds() + 0.01)
+    world.run(world.clock.seconds() + 0.6)
+    leader = world.nodes[first].leader
+    assert not leader.ready and leader.confirmed() == {first}
+    unconfirmed = {
+        machine.zone
+        for block in world.nodes[first].session.blocks.values()
+        if block.holder == third
+        for machine in block.machines
+    }
+    assert leader.confirmed_zones() and not leader.confirmed_zones() & unconfirmed
+    spec = Spec("j-x", "front", "red", "sweep", "normal", 9, 1.0, 0.0, 1.0, "img", 0.5)
+    offers = leader.asks(first, [Ask(msgspec.to_builtins(spec), 9, {}, {}, [])]).offers
+    zones = {world.checker.where[offer.machine][1] for offer in offers}
+    assert offers and zones <= leader.confirmed_zones()
+    # With the time to speak over, or the third back, everything is lent again.
+    world.run(world.clock.seconds() + 10.0)
+    assert leader.ready and world.checker.broken == []
+
+
+def test_a_lead_that_flapped_passes_on_with_its_grant() -> None:
+    world = deployment()
+    old = world.leader()
+    for node in world.nodes.values():
+        node.standby.takeovers = [node.clock.seconds()] * 5
+    world.crash(old, None)
+    assert takeover_s(world, old) > TAKEOVER_S
