--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -9,6 +9,7 @@
 import orjson
 from twisted.internet.defer import ensureDeferred
 
+from beamspar.control.fleet import Fleet
 from beamspar.control.leader import Leader
 from beamspar.control.session import LEADER, Machine, Session, block_record
 from beamspar.settings import NextLimits, Timing, Tuning
@@ -41,7 +42,8 @@
     session = Session(clock, store, own, timing)
     session.learn(LEADER, {"name": "rig-0", "inc": 0}, 5)
     dice = random.Random(1)
-    leader = Leader(clock, session, store, unused, own, timing, Tuning(), dice)
+    fleet = Fleet(clock, unused, session, own, timing, {})
+    leader = Leader(clock, session, store, fleet, own, timing, Tuning(), dice)
     return leader, recorder
 
 
