The leader's view of a member has a module of its own

Change: Picture is control.member_view.MemberView, with taking in a heartbeat as its method; names say what they hold.

--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -17,7 +17,8 @@
 from beamspar.cloud import CloudUnavailableError, NoCapacityError
 from beamspar.control import records
 from beamspar.control.fleet import Fleet
-from beamspar.control.messages import Ask, Directions, JobClass, Offers, Placed, Summary, View
+from beamspar.control.member_view import MemberView
+from beamspar.control.messages import Ask, Directions, Offers, Placed, Summary, View
 from beamspar.control.reservations import Reservations
 from beamspar.control.session import BLOCK, LEADER, PARTITION, Block, Machine, Session, block_record
 from beamspar.http import Clock, sleep, spawn
@@ -62,23 +63,8 @@
     return [("", {**record, "machines": part}) for part in parts]
 
 
-class Picture:
-    """What one member's heartbeats add up to."""
-
-    def __init__(self, inc: int) -> None:
-        self.inc = inc
-        self.count = 0
-        self.at = -1e9
-        # Every machine of the member was told once.
-        self.complete = False
-        # Each machine's view and when it came.
-        self.views: dict[str, tuple[View, float]] = {}
-        self.classes: dict[str, JobClass] = {}
-        self.strays: list[str] = []
-
-
 class Leader:
-    """Owns the picture of the whole fleet while this controller leads."""
+    """Owns the view of the whole fleet while this controller leads."""
 
     def __init__(
         self,
@@ -102,8 +88,8 @@
         self.dice = dice
         self.sites = {s.member: s.site for s in settings.siblings}
         self.sites[settings.member] = settings.site
-        self.pictures: dict[str, Picture] = {}
-        # Per machine what was lent there and is not in its holder's picture yet.
+        self.members: dict[str, MemberView] = {}
+        # Per machine what was lent there and is not in its holder's view yet.
         self.loans: dict[str, list[tuple[Spec, float]]] = {}
         self.seen: dict[str, tuple[Machine, float]] = {}
         self.wishes: dict[str, tuple[Spec, int, float]] = {}
@@ -175,7 +161,11 @@
     def confirmed(self) -> set[str]:
         """Members heard in full since this controller took the lead."""
         since = self.leading_since
-        return {m for m, p in self.pictures.items() if since is not None and p.at >= since}
+        return {
+            name
+            for name, member in self.members.items()
+            if since is not None and member.heard_at >= since
+        }
 
     def confirmed_zones(self) -> set[str]:
         """Zones in which every holder was heard since then, but for a leader that has failed."""
@@ -351,9 +341,9 @@
 
     def _still_live(self, holder: str, block: Block) -> bool:
         """May one from before this holder still act there? Not once its workers know better."""
-        picture = self.pictures.get(holder)
+        member = self.members.get(holder)
         for machine in block.machines if block.live else ():
-            view, _ = picture.views.get(machine.name, (None, 0.0)) if picture else (None, 0.0)
+            view, _ = member.machines.get(machine.name, (None, 0.0)) if member else (None, 0.0)
             if view is None or not view.fresh or view.number < block.base:
                 return True
         return False
@@ -484,7 +474,7 @@
         return {
             m
             for m in self.session.members
-            if m in self.pictures and now - self.pictures[m].at < self.timing.report
+            if m in self.members and now - self.members[m].heard_at < self.timing.report
         }
 
     async def _rebalance(self) -> None:
@@ -535,12 +525,12 @@
         found: dict[str, str] = {}
         deaf = self._cut_off_members()
         for member in sorted(self._heard()):
-            for name in self.pictures[member].strays:
+            for name in self.members[member].unserved:
                 block = self.session.blocks.get(self.session.block_of.get(name, ""))
                 if block is None or block.holder == member:
                     continue
-                holder = self.pictures.get(block.holder)
-                view, _ = holder.views.get(name, (None, 0.0)) if holder else (None, 0.0)
+                holder = self.members.get(block.holder)
+                view, _ = holder.machines.get(name, (None, 0.0)) if holder else (None, 0.0)
                 if self._out_of_reach(block.holder):
                     found.setdefault(self.session.block_of[name], member)
                 elif block.holder in deaf and view and view.silent_s > self.timing.out_of_reach:
@@ -561,18 +551,11 @@
     def heartbeat(self, summary: Summary) -> Directions:
         """Take in a member's heartbeat; answer with what it should do."""
         now = self.clock.seconds()
-        picture = self.pictures.get(summary.member)
-        if picture is None or picture.inc != summary.inc or summary.since == 0:
-            picture = self.pictures[summary.member] = Picture(summary.inc)
-        taken = picture.count == summary.since
+        member = self.members.get(summary.member)
+        if member is None or member.incarnation != summary.inc or summary.since == 0:
+            member = self.members[summary.member] = MemberView(summary.inc)
+        taken = member.take(summary, now)
         if taken:
-            picture.count, picture.classes = summary.count, summary.classes
-            picture.complete = picture.complete or not summary.partial
-            if picture.complete:
-                # Before that it counts as not heard: room that was not told would be rented.
-                picture.at = now
-            picture.strays = summary.strays
-            picture.views.update({v.room.name: (v, now) for v in summary.views})
             for name, images in summary.caches.items():
                 if name in self.session.block_of:
                     self._cached(name, images)
@@ -617,20 +600,20 @@
         now = self.clock.seconds()
         blocks, block_of = self.session.blocks, self.session.block_of
         found = []
-        for member, picture in self.pictures.items():
-            if now - picture.at > self.timing.report:
+        for member_name, member in self.members.items():
+            if now - member.heard_at > self.timing.report:
                 continue
             gone = []
-            for name, (view, _) in picture.views.items():
+            for name, (view, _) in member.machines.items():
                 block_name = block_of.get(name)
                 if block_name is None:
                     gone.append(name)
                     continue
                 block = blocks.get(block_name)
-                if block and (block.holder, block.number) == (member, view.number):
+                if block and (block.holder, block.number) == (member_name, view.number):
                     found.append(view)
             for name in gone:
-                del picture.views[name]
+                del member.machines[name]
                 if name in self.lead.caches:
                     self.decisions.decide(CacheChanged(name, {}))
         return found
@@ -720,7 +703,7 @@
         return Offers(offers)
 
     def _lend(self, spec: Spec, room: Room, now: float) -> None:
-        """Take the room off the picture until the holder's own summary shows it."""
+        """Take the room off the view until the holder's own summary shows it."""
         room.take(spec)
         self.loans.setdefault(room.name, []).append((spec, now + self.timing.heartbeat * 2))
 
@@ -747,10 +730,10 @@
         needs.sort(key=lambda item: item[0].rank)
         running: dict[str, dict[str, int]] = {}
         largest: dict[str, int] = {}
-        for picture in self.pictures.values():
-            if now - picture.at > self.timing.report:
+        for member in self.members.values():
+            if now - member.heard_at > self.timing.report:
                 continue
-            for name, job_class in picture.classes.items():
+            for name, job_class in member.classes.items():
                 zones = running.setdefault(name, {})
                 for zone, bound in job_class.zones.items():
                     zones[zone] = zones.get(zone, 0) + bound
@@ -833,7 +816,7 @@
             self.retiring.clear()
             return
         for member in self.session.members:
-            for name, (view, at) in self.pictures[member].views.items():
+            for name, (view, at) in self.members[member].machines.items():
                 if self.session.holder_of(name) != (member, view.number):
                     continue
                 empty = view.fresh and not view.room.tasks
--- /dev/null
+++ b/src/beamspar/control/member_view.py
@@ -0,0 +1,35 @@
+"""What the leader knows of one member, by its heartbeats."""
+
+from __future__ import annotations
+
+from beamspar.control.messages import JobClass, Summary, View
+
+
+class MemberView:
+    """What the heartbeats of one incarnation of a member add up to."""
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        # The count of changes up to which it has told.
+        self.count = 0
+        self.heard_at = -1e9
+        # Every machine of the member was told once.
+        self.complete = False
+        # Each machine's view and when it came.
+        self.machines: dict[str, tuple[View, float]] = {}
+        self.classes: dict[str, JobClass] = {}
+        # Machines whose workers came to this member, for their holder does not answer them.
+        self.unserved: list[str] = []
+
+    def take(self, summary: Summary, now: float) -> bool:
+        """Take in a heartbeat; False if it builds on one that did not come."""
+        if self.count != summary.since:
+            return False
+        self.count, self.classes = summary.count, summary.classes
+        self.complete = self.complete or not summary.partial
+        if self.complete:
+            # Before that it counts as not heard: room that was not told would be rented.
+            self.heard_at = now
+        self.unserved = summary.strays
+        self.machines.update({view.room.name: (view, now) for view in summary.views})
+        return True
--- a/src/beamspar/standby/standby.py
+++ b/src/beamspar/standby/standby.py
@@ -162,11 +162,6 @@
 
     def _ready(self) -> None:
         """The first decision may be made: say what it will be based on."""
-        heard = sorted(
-            member
-            for member, picture in self.leader.pictures.items()
-            if self.leader.leading_since is not None and picture.at >= self.leader.leading_since
-        )
         log.info(
             "{me} decides in term {term}: copied up to {index} of {was}, lag {lag}, "
             "confirmed by {heard}",
@@ -175,7 +170,7 @@
             index=self.replica.index,
             was=self.replica.term,
             lag=self.replica.lag,
-            heard=heard,
+            heard=sorted(self.leader.confirmed()),
         )
 
     # -- the follower's side
