Leasing counts the fleet only when there is something to lease; a parameter that nothing used

The size of blocks was worked out in each leasing round, twice a second, by a set of all machines, though mostly nothing is to be leased. Change: it is worked out after that is known, from the leased and the new machines, which are the same ones (what was returned is not counted now). The kill tool's deciding() loses a parameter.

--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -392,12 +392,11 @@
         if machine.name not in self.fleet.returned:
             self.seen[machine.name] = (machine, self.clock.seconds())
 
-    def _block_size(self) -> int:
+    def _block_size(self, new: int) -> int:
         """So many machines that one transaction moves about all of a controller's blocks."""
         facts, limits = self.settings.facts, self.limits
         # The cloud's list may be late or out of reach: what reports is there as well.
-        known = len(self.session.block_of.keys() | self.seen.keys())
-        fleet = max(self.fleet.counted, known)
+        fleet = max(self.fleet.counted, len(self.session.block_of) + new)
         fitting = int(limits.value_kb * 1024 / 2 / MACHINE_BYTES)
         size = -(-fleet // (max(facts.nodes, 1) * limits.txn_ops))
         return max(min(self.tuning.block_size or size, fitting), 1)
@@ -412,11 +411,11 @@
             for m, _ in self.seen.values()
             if m.name not in self.session.block_of and m.name not in self.fleet.returned
         ]
-        size = self._block_size()
         self.seen.clear()
         if not new:
             return
         counts = self._counts()
+        size = self._block_size(len(new))
         groups: dict[tuple[str, str, bool], list[Machine]] = {}
         for machine in sorted(new, key=lambda m: m.name):
             self.fleet.up(machine.name)
--- a/tests/kill_leader.py
+++ b/tests/kill_leader.py
@@ -83,12 +83,12 @@
         found: dict[str, Any] | None = orjson.loads(answer.body) if answer.status == 200 else None
         return found
 
-    async def deciding(self, term: int = 0, but: str = "") -> dict[str, Any]:
+    async def deciding(self, term: int = 0) -> dict[str, Any]:
         """Wait for a controller that decides in a later term."""
         clock = self.world.clock
         since = clock.seconds()
         while clock.seconds() - since < PATIENCE_S:
-            asked = [ensureDeferred(self.status(n)) for n in self.world.names if n != but]
+            asked = [ensureDeferred(self.status(name)) for name in self.world.names]
             for waiting in asked:
                 status = await waiting
                 if status is not None and status["deciding"] and status["term"] > term:
