Large arrays cost less: counts kept as tasks change, rounds of placing and large messages paced

Each end of a task began a round of placing at once, and each round and heartbeat looked at every task of every job (places, bound); a holder's steps looked at every want for every want. Change: a job counts bound and running tasks and machines as they change; rounds begin at most ten times a heartbeat; telling many wants is followed by a pause; a machine's use is counted once a change; nothing is kept free for the lowest priority. The stand-ins' checker looks at other tasks only where a rule needs it.

--- a/src/beamspar/control/assignments.py
+++ b/src/beamspar/control/assignments.py
@@ -12,9 +12,12 @@
 from beamspar.control.messages import CLEAR, HOLD, RUN, STOP, WANTS_AT_ONCE, Status, Sync, Want
 from beamspar.control.records import LIVE
 from beamspar.control.session import Session
-from beamspar.http import Clock, spawn
+from beamspar.http import Clock, sleep, spawn
 from beamspar.settings import Timing
 
+# From so many wants in one telling on, the next one waits in proportion to them.
+MANY_WANTS = 200
+
 
 class JobBook(Protocol):
     """Whose tasks these are, and who is told what holders answer."""
@@ -44,6 +47,8 @@
         # Bound, but its holder was not told yet: its room is not off the picture.
         self.untold: dict[tuple[str, int], tuple[Job, Task]] = {}
         self.seq = 0
+        # How many wants were told so far.
+        self.wants_told = 0
         # Per holder: the machines whose wants changed, and when all was said last.
         self.due: dict[str, set[str]] = {}
         self.syncing: set[str] = set()
@@ -95,11 +100,17 @@
         if full:
             self.told_all[holder] = self.clock.seconds()
         heard = False
+        wants = self.wants_told
         try:
             for part in self._parts(holder, None if full else machines):
                 heard = await self._tell(holder, part)
                 if not heard:
                     break
+            # Machines with hundreds of short tasks change all the time, and each change tells
+            # all that is wanted there: what comes meanwhile is told together.
+            told = self.wants_told - wants
+            if told >= MANY_WANTS:
+                await sleep(self.clock, self.timing.heartbeat * min(told / WANTS_AT_ONCE, 1.0))
         finally:
             self.syncing.discard(holder)
             if not heard:
@@ -166,6 +177,7 @@
         for partition, listed in wants.items():
             record = self.session.partitions.get(partition)
             if record:
+                self.wants_told += len(listed)
                 part = None if machines is None else sorted(machines)
                 messages.append(
                     Sync(
--- a/src/beamspar/control/held_machine.py
+++ b/src/beamspar/control/held_machine.py
@@ -67,6 +67,8 @@
         # Nothing is due here before something changes: the regular check passes it by.
         self.calm = False
         self.room: Room | None = None
+        # What its live wants take together, counted anew after a change.
+        self.use: tuple[float, float, float] | None = None
         self.changed = 0
         self.was_silent = False
         # The leader means to return it: it takes nothing new.
@@ -75,8 +77,25 @@
     def touch(self) -> None:
         """What it holds, wants or is has changed: its room is to be counted anew."""
         self.room = None
+        self.use = None
         self.calm = False
 
+    def taken(self, but: Key | None = None) -> tuple[float, float, float]:
+        """CPUs, accelerators and memory that live wants take here, one of them left out."""
+        if self.use is None:
+            cpus = gpus = memory = 0.0
+            for key, want in self.wants.items():
+                if self.live(key):
+                    cpus += want.cpus
+                    gpus += want.gpus
+                    memory += want.memory_gb
+            self.use = (cpus, gpus, memory)
+        own = self.wants.get(but) if but is not None else None
+        if but is None or own is None or not self.live(but):
+            return self.use
+        cpus, gpus, memory = self.use
+        return cpus - own.cpus, gpus - own.gpus, memory - own.memory_gb
+
     def unfetched(self, key: Key, want: Want) -> bool:
         """Does the attempt still wait for its image?"""
         report = self.tasks.get(key)
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -121,6 +121,7 @@
             for key, want in machines.get(machine.info.name, {}).items():
                 if want.number == machine.number:
                     self._wanted(machine, key, want, partition)
+        machine.touch()
 
     def held(self, name: str) -> HeldMachine | None:
         """The machine, if this controller may act for it right now."""
@@ -339,29 +340,38 @@
             machine.touch()
         return changed
 
-    def _status(self, machine: HeldMachine, key: Key, want: Want) -> Status | None:
-        name, number = machine.info.name, machine.number
-        if key in machine.over:
-            return Status(name, number, key[0], key[1], machine.over[key])
+    def _mark(self, machine: HeldMachine, key: Key, want: Want) -> tuple[str, str | None] | None:
+        """The attempt's state and why it ended, as its owner should know them; None: not known."""
+        over = machine.over.get(key)
+        if over is not None:
+            return over, None
         task = machine.tasks.get(key)
         if task is None:
             return None
-        if task.status == "ended":
-            if want.action == CLEAR and machine.in_doubt(key):
-                return Status(name, number, key[0], key[1], KEPT)
-            return Status(name, number, key[0], key[1], ENDED, task.why, bool(task.saved))
-        return Status(name, number, key[0], key[1], task.status)
+        if task.status != "ended":
+            return task.status, None
+        if want.action == CLEAR and machine.in_doubt(key):
+            return KEPT, None
+        return ENDED, task.why
+
+    def _status(self, machine: HeldMachine, key: Key, want: Want) -> Status | None:
+        mark = self._mark(machine, key, want)
+        if mark is None:
+            return None
+        state, why = mark
+        saved = state == ENDED and bool(machine.tasks[key].saved)
+        return Status(machine.info.name, machine.number, key[0], key[1], state, why, saved)
 
     def _tell(self, machine: HeldMachine) -> None:
         """Push to the owners what changed; what is lost is told again."""
         by_owner: dict[str, list[Status]] = {}
         for key, want in machine.wants.items():
-            status = self._status(machine, key, want)
-            if status is None:
+            mark = self._mark(machine, key, want)
+            if mark is None or machine.told.get(key) == mark:
                 continue
-            mark = (status.state, status.why)
             owner = self.owners.get(machine.partition_of.get(key, ""))
-            if machine.told.get(key) != mark and owner:
+            status = self._status(machine, key, want)
+            if status is not None and owner:
                 machine.told[key] = mark
                 by_owner.setdefault(owner, []).append(status)
         for owner, statuses in by_owner.items():
@@ -393,13 +403,8 @@
         kind = self.types().get(machine.info.kind)
         if kind is None:
             return 0.0, 0.0, 0.0
-        cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
-        for key, want in machine.wants.items():
-            if key != but and machine.live(key):
-                cpus -= want.cpus
-                gpus -= want.gpus
-                memory -= want.memory_gb
-        return cpus, gpus, memory
+        cpus, gpus, memory = machine.taken(but)
+        return kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory
 
     def _fits(self, machine: HeldMachine, key: Key, want: Want) -> bool:
         cpus, gpus, memory = self._free(machine, key)
@@ -449,12 +454,12 @@
     def _commands(self, machine: HeldMachine) -> list[dict[str, Any]]:
         """Orders that the difference between wants and reports calls for."""
         commands = []
+        cancellations = bool(self.session.withdrawn or self.session.told)
         for key, task in machine.tasks.items():
             if task.status == "ended":
                 continue
             want = machine.wants.get(key)
-            job = key[0].partition("/")[0]
-            if self.session.is_withdrawn(job):
+            if cancellations and self.session.is_withdrawn(key[0].partition("/")[0]):
                 grace: float | None = 0.0
             elif key in machine.unwanted:
                 grace = 0.0
@@ -479,10 +484,15 @@
         return commands
 
     def _starts(self, machine: HeldMachine) -> list[dict[str, Any]]:
-        commands = []
-        for key, want in sorted(machine.wants.items(), key=lambda item: item[1].rank):
-            if key in machine.tasks or key in machine.over or not machine.fresh:
-                continue
+        commands: list[dict[str, Any]] = []
+        if not machine.fresh:
+            return commands
+        missing = [
+            item
+            for item in machine.wants.items()
+            if item[0] not in machine.tasks and item[0] not in machine.over
+        ]
+        for key, want in sorted(missing, key=lambda item: item[1].rank):
             start = machine.starts.get(key)
             withdrawn = self.session.is_withdrawn(key[0].partition("/")[0])
             if start is not None and start.answered and not start.doubt:
@@ -510,7 +520,7 @@
                 self._raise_token(machine)
                 return commands
         for key in list(machine.unwanted):
-            if key in machine.over or key in machine.tasks or not machine.fresh:
+            if key in machine.over or key in machine.tasks:
                 continue
             start = machine.starts.get(key)
             if start is None or (start.answered and not start.doubt) or machine.void(start):
--- a/src/beamspar/control/job.py
+++ b/src/beamspar/control/job.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -14,6 +14,9 @@
 from beamspar.control.records import LIVE, Chunk, JobRecord, Layout
 from beamspar.wire import Spec
 
+# A task's state, as a worker reports it, that counts as running.
+RUNNING = "running"
+
 
 class Task:
     """One task that is bound or has been; untouched tasks have none of these."""
@@ -58,6 +61,12 @@
         self.chunk_versions: dict[int, int] = {}
         self.status = LIVE
         self.tasks: dict[int, Task] = {}
+        # How many tasks are on a machine or on their way there, how many of them were seen to
+        # run, and on which machines. Counted as they change: an array may have thousands bound,
+        # and these are asked for with each round of placing and each heartbeat.
+        self.bound = 0
+        self.running = 0
+        self._on_machine: Counter[str] = Counter()
         self.untouched = 0
         self.again: deque[int] = deque()
         self.done: dict[int, set[int]] = {}
@@ -87,16 +96,6 @@
         """The job's ID."""
         return self.spec.id
 
-    @property
-    def bound(self) -> int:
-        """How many tasks are on a machine, or on their way there."""
-        return sum(1 for t in self.tasks.values() if t.machine is not None)
-
-    @property
-    def running(self) -> int:
-        """How many tasks were seen to run."""
-        return sum(1 for t in self.tasks.values() if t.machine is not None and t.state == "running")
-
     @property
     def weight(self) -> float:
         """Whose record goes first: the higher priority, then the longer fetch, for the
@@ -156,13 +155,35 @@
     def bind(self, index: int, machine: str) -> None:
         """Bind a task that is bound nowhere."""
         self.tasks[index].machine = machine
+        self.bound += 1
+        self._on_machine[machine] += 1
         self.limit_use.bind(index // self.per)
 
     def unbind(self, index: int) -> None:
         """The task's attempt is over, or was never stored."""
-        self.tasks[index].machine = None
+        task = self.tasks[index]
+        machine = task.machine
+        assert machine is not None, f"{self.id}/{index} is bound nowhere"
+        self._on_machine[machine] -= 1
+        if not self._on_machine[machine]:
+            del self._on_machine[machine]
+        task.machine = None
+        self.bound -= 1
+        self.saw(task, "")
         self.limit_use.unbind(index // self.per)
 
+    def saw(self, task: Task, state: str) -> None:
+        """A holder tells the state of one of the job's bound tasks; empty while none is known."""
+        self.running += (state == RUNNING) - (task.state == RUNNING)
+        task.state = state
+
+    def complete(self, index: int) -> None:
+        """The task is done, and stays so."""
+        done = self.done.setdefault(index // self.per, set())
+        if index not in done:
+            done.add(index)
+            self.done_count += 1
+
     def extra_use(self, indexes: Sequence[int]) -> int:
         """How many more tasks count against the limit once these are bound."""
         if not self.limit_use.spare:
@@ -173,13 +194,10 @@
     def places(self, zone_of: Callable[[str], str]) -> tuple[dict[str, int], dict[str, int]]:
         """Where the job's tasks are or may be: zones and machines with counts."""
         zones: dict[str, int] = {}
-        machines: dict[str, int] = {}
-        for task in self.tasks.values():
-            if task.machine is not None:
-                machines[task.machine] = machines.get(task.machine, 0) + 1
-                zone = zone_of(task.machine)
-                zones[zone] = zones.get(zone, 0) + 1
-        return zones, machines
+        for machine, count in self._on_machine.items():
+            zone = zone_of(machine)
+            zones[zone] = zones.get(zone, 0) + count
+        return zones, dict(self._on_machine)
 
     def chunk(self, number: int) -> Chunk:
         """What a chunk's record says of its tasks."""
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -45,7 +45,7 @@
     drop,
     put,
 )
-from beamspar.wire import Spec
+from beamspar.wire import LOWEST_RANK, Spec
 
 log = Logger(namespace="leader")
 
@@ -743,6 +743,9 @@
                 self.largest[name] = (size, now)
         for name, zones in sorted(running.items(), key=lambda item: self.shapes[item[0]].rank):
             spec = self.shapes[name]
+            if spec.rank == LOWEST_RANK:
+                # It takes what others leave: nothing is rented ahead for it, nor kept idle.
+                continue
             # Room for two of the largest jobs, which may come together; and replicas
             # that users wait for must find room elsewhere when a zone is lost.
             share = int(sum(zones.values()) * self.tuning.headroom) + 1
--- a/src/beamspar/control/owner.py
+++ b/src/beamspar/control/owner.py
@@ -233,7 +233,7 @@
         if task.machine is not None:
             self.take_off(task.machine, job, index)
             job.unbind(index)
-        task.stored, task.state = False, ""
+        task.stored = False
         task.number = 0
         # It counts against the team's limit until that is stored: a successor would start it.
         job.dirty.add(index // job.per)
@@ -272,7 +272,7 @@
         if status.state in (GONE, REFUSED, ENDED):
             return self._over_attempt(job, index, task, status)
         if task.state != status.state:
-            task.state = status.state
+            job.saw(task, status.state)
             if job.spec.is_gang:
                 self._gang_moved(job, status.state)
         return None
@@ -302,10 +302,9 @@
         if status.state == ENDED:
             self.assignments.clear(job, status.machine, status.task, status.attempt)
         if status.state == ENDED and status.why == "done" and not job.spec.is_service:
-            job.done.setdefault(index // job.per, set()).add(index)
+            job.complete(index)
             if job.spec.is_gang:
                 self._gang_done(job)
-            job.done_count = sum(len(done) for done in job.done.values())
             return job
         if job.status == LIVE and self.session.is_withdrawn(job.id):
             # The holder knew of the withdrawal before we did: not to be bound once more.
@@ -352,7 +351,7 @@
                 name = f"{job.id}/{index}"
                 self.assignments.clear(job, task.machine, name, task.attempt)
                 self._unbind(job, index, task)
-            job.done.setdefault(index // job.per, set()).add(index)
+            job.complete(index)
             job.dirty.add(index // job.per)
         job.again.clear()
 
--- a/src/beamspar/control/placer.py
+++ b/src/beamspar/control/placer.py
@@ -28,6 +28,8 @@
 # Waiting jobs that are placed in one round, and tasks of one job.
 JOBS_AT_ONCE = 64
 TASKS_AT_ONCE = 200
+# The least time between the beginnings of two rounds, as a share of a heartbeat.
+ROUND_PAUSE = 0.1
 
 
 class JobBook(Protocol):
@@ -52,6 +54,7 @@
         self.book = book
         self.pumping = False
         self.again = False
+        self.pumped_at = -1e9
         # Room on machines that this controller holds; what a job prefers; the leader's offers.
         self.rooms: Callable[[], list[Room]] = lambda: []
         self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
@@ -63,6 +66,17 @@
             self.again = True
             return
         self.pumping = True
+        # Each end of a task calls for a round: with thousands of short tasks rounds took all of
+        # the processor. New jobs are placed as they are accepted and don't wait for a round.
+        wait = self.pumped_at + self.timing.heartbeat * ROUND_PAUSE - self.clock.seconds()
+        if wait > 0:
+            self.clock.callLater(wait, self._begin)
+        else:
+            self._begin()
+
+    def _begin(self) -> None:
+        self.pumped_at = self.clock.seconds()
+        self.again = False
         spawn(self._pump(), "placing")
 
     async def _pump(self) -> None:
@@ -83,7 +97,7 @@
             self.pumping = False
             if self.again:
                 self.again = False
-                self.clock.callLater(self.timing.heartbeat / 10, self.pump)
+                self.pump()
 
     def _first(self, jobs: list[Job]) -> list[Job]:
         """Some of each shape, in order: many that find no room must not hold up the others."""
@@ -193,12 +207,14 @@
             return
         zones, machines = job.places(self.book.zone_of)
         preference = self.preference(job.spec)
+        avoid = self._avoid(job)
         for index in indexes:
-            # What is left to be placed again may avoid less than all of it did.
-            avoid = self._avoid(job)
             room = choose(job.spec, rooms, zones, machines, avoid, near, warm_only, preference)
             if room is None or not self._take_and_bind(job, index, room.name, False):
                 return
+            if job.tasks[index].avoid:
+                # What is left to be placed again may avoid less than all of it did.
+                avoid = self._avoid(job)
             room.take(job.spec)
             zones[room.zone] = zones.get(room.zone, 0) + 1
             machines[room.name] = machines.get(room.name, 0) + 1
@@ -251,7 +267,7 @@
         if self.book.budget is not None:
             # Also for a job that is being accepted, and not among ours yet.
             self.book.budget.recount(job)
-        task.stored, task.state = False, ""
+        task.stored = False
         task.number, task.evict, task.yields = 0, evict, False
         job.dirty.add(index // job.per)
         if job.spec.is_gang and job.bound + job.done_count == job.spec.tasks:
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
-from copy import copy as shallow_copy
 from zlib import crc32
 
 import msgspec
@@ -49,7 +48,9 @@
 
 def copy(room: Room) -> Room:
     """A room to reckon with: what is taken from it leaves the original as it is."""
-    return shallow_copy(room)
+    # What `copy.copy` calls in the end: rounds of placing copy every machine's room.
+    duplicate: Room = room.__copy__()  # type: ignore[attr-defined]
+    return duplicate
 
 
 def trim(images: dict[str, float], kind: MachineType) -> None:
--- a/src/beamspar/wire.py
+++ b/src/beamspar/wire.py
@@ -12,6 +12,7 @@
 MAX_TASKS = 100_000
 JOB_ID = re.compile(r"j-[A-Za-z0-9_.:-]{1,100}\Z")
 PRIORITIES = {"critical": 0, "high": 1, "normal": 2, "low": 3}
+LOWEST_RANK = max(PRIORITIES.values())
 
 _encoder = msgspec.msgpack.Encoder()
 
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -54,12 +54,8 @@
             self.report("wrong_place", f"{task} in {zone}")
         if spot and not spec["standby"]:
             self.report("wrong_place", f"{task} on a spot machine")
-        zones = [
-            self.where[m][1]
-            for other, places in self.on.items()
-            if other != task and other.startswith(job + "/")
-            for m, _ in places
-        ]
+        # Other tasks are looked at only for a job whose zones are bound: arrays have thousands.
+        zones = self._zones_of_others(task) if spec["scatter"] or spec["together"] else []
         if spec["scatter"] and zones.count(zone) + 1 > (spec["parcels"] + 1) // 2:
             self.report("wrong_place", f"{task}: too many in {zone}")
         if spec["together"] and any(z != zone for z in zones):
@@ -72,6 +68,15 @@
         if told and told[0] == "withdrawn" and self.clock.seconds() > told[1] + self.cancel_s:
             self.report("ran_cancelled", f"{task} starts on {machine}")
 
+    def _zones_of_others(self, task: str) -> list[str]:
+        job = task.partition("/")[0]
+        return [
+            self.where[machine][1]
+            for other, places in self.on.items()
+            if other != task and other.startswith(job + "/")
+            for machine, _ in places
+        ]
+
     def _gang(self, job: str, attempt: int) -> None:
         """All run or none: an attempt begins when nothing of the one before is anywhere."""
         old = {
@@ -92,7 +97,10 @@
                 self.report("started_cancelled", order["parcel"])
 
     def stop(self, task: str, attempt: int, machine: str) -> None:
-        self.on.get(task, set()).discard((machine, attempt))
+        places = self.on.get(task, set())
+        places.discard((machine, attempt))
+        if not places:
+            self.on.pop(task, None)
 
     def finish(self, task: str) -> None:
         job, _, index = task.partition("/")
@@ -112,6 +120,8 @@
 
     def _quota(self, team: str) -> None:
         cpus_max, gpus_max = self.limits.get(team, (0.0, 0.0))
+        if not cpus_max and not gpus_max:
+            return
         cpus, gpus = self.use(team)
         if (cpus_max and cpus > cpus_max + 1e-6) or (gpus_max and gpus > gpus_max + 1e-6):
             self.report("quota", f"{team} uses {cpus} cpus and {gpus} gpus")
--- /dev/null
+++ b/tests/test_many_tasks.py
@@ -0,0 +1,172 @@
+"""Jobs of thousands of short tasks: their cost does not grow with the square of their number."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from beamspar.control.assignments import MANY_WANTS, Assignments
+from beamspar.control.job import Job
+from beamspar.control.messages import WANTS_AT_ONCE
+from beamspar.control.placer import Placer
+from beamspar.control.records import Layout
+from beamspar.wire import Spec
+from tests.standins.world import ZONES, World
+
+MACHINES = [f"host-{n}" for n in range(7)]
+
+
+def plain_counts(job: Job) -> tuple[int, int, dict[str, int]]:
+    """Bound and running tasks and those of each machine, by looking at every task."""
+    bound = [task for task in job.tasks.values() if task.machine is not None]
+    machines = [str(task.machine) for task in bound]
+    running = sum(1 for task in bound if task.state == "running")
+    return len(bound), running, {name: machines.count(name) for name in set(machines)}
+
+
+def test_a_job_counts_what_a_look_at_every_task_would() -> None:
+    dice = random.Random(5)
+    spec = Spec("j-1", "sweep", "red", "sweep", "low", 60, 1.0, 0.0, 1.0, "img", 1.0)
+    job = Job(spec, "rig-0.1", Layout(8), 0.0)
+    for _ in range(2000):
+        bound = [index for index, task in job.tasks.items() if task.machine is not None]
+        waiting = job.waiting(0.0, 5)
+        action = dice.choice(["bind", "unbind", "run", "save", "done"])
+        if action == "bind" and waiting:
+            index = dice.choice(waiting)
+            job.take(index)
+            job.bind(index, dice.choice(MACHINES))
+        elif bound:
+            index = dice.choice(bound)
+            if action == "run":
+                job.saw(job.tasks[index], "running")
+            elif action == "save":
+                job.saw(job.tasks[index], "saving")
+            elif action in ("unbind", "done"):
+                job.unbind(index)
+                if action == "done" and dice.random() < 0.2:
+                    job.complete(index)
+                else:
+                    job.again.append(index)
+        zones, machines = job.places(lambda machine: machine[-1:])
+        assert (job.bound, job.running, machines) == plain_counts(job)
+        assert sum(zones.values()) == job.bound
+        assert job.done_count == sum(len(done) for done in job.done.values())
+    assert job.done_count > 0
+
+
+@pytest.fixture(scope="module")
+def sweep() -> tuple[World, dict[str, int]]:
+    """Two idle-time sweeps of 600 short tasks on 24 machines, and how often each was done."""
+    counts = {"rounds": 0}
+
+    def counted(kind: type, method: str, name: str) -> None:
+        original = getattr(kind, method)
+
+        def call(self: Any, *args: Any) -> Any:
+            counts[name] += 1
+            return original(self, *args)
+
+        patch.setattr(kind, method, call)
+
+    with pytest.MonkeyPatch.context() as patch:
+        counted(Placer, "_pump", "rounds")
+        world = World(
+            4,
+            machines=[{"kind": "small", "zone": zone, "count": 8} for zone in ZONES],
+            capacity=[
+                {"kind": kind, "zone": zone, "spot": spot, "count": 0}
+                for kind in ("small", "big")
+                for zone in ZONES
+                for spot in (False, True)
+            ],
+            state={"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 24},
+        )
+        shape = {"shape": "sweep", "urgency": "low", "cpus": 0.25, "memory_gb": 0.1, "run_s": 4.0}
+        for number in range(2):
+            world.clock.callLater(
+                8.0, lambda n=number: world.submit(f"j-{n}", parcels=600, standby=True, **shape)
+            )
+        world.run(60.0)
+    return world, counts
+
+
+def test_all_tasks_of_large_sweeps_are_done(sweep: tuple[World, dict[str, int]]) -> None:
+    world, _ = sweep
+    assert [world.status(f"j-{n}") for n in range(2)] == ["done", "done"]
+    assert world.checker.broken == []
+
+
+def test_rounds_of_placing_are_bounded_by_time(sweep: tuple[World, dict[str, int]]) -> None:
+    # Each end of a task began a round: 1,200 and more of them.
+    _, counts = sweep
+    heartbeat = 0.5
+    assert counts["rounds"] <= 3 * 52.0 / (heartbeat * 0.1)
+    assert counts["rounds"] < 1200
+
+
+def test_what_live_wants_take_is_what_a_look_at_each_gives(
+    sweep: tuple[World, dict[str, int]],
+) -> None:
+    world, _ = sweep
+    world.submit("j-after", parcels=40, shape="sweep", urgency="low", cpus=0.25, run_s=30.0)
+    for _ in range(40):
+        world.run(world.clock.seconds() + 0.25)
+        for node in world.nodes.values():
+            for machine in node.holder.machines.values():
+                live = [want for key, want in machine.wants.items() if machine.live(key)]
+                cpus = sum(want.cpus for want in live)
+                assert machine.taken()[0] == pytest.approx(cpus)
+                for key, want in machine.wants.items():
+                    own = want.cpus if machine.live(key) else 0.0
+                    assert machine.taken(key)[0] == pytest.approx(cpus - own)
+    assert world.running("j-after") == 40
+
+
+def test_a_large_message_to_a_holder_is_followed_by_a_pause() -> None:
+    """What changes on machines with hundreds of tasks is told together."""
+    told: list[tuple[tuple[int, str], float, int]] = []
+    tell = Assignments._tell
+
+    async def counted(self: Assignments, holder: str, machines: set[str] | None) -> bool:
+        before = self.wants_told
+        heard = await tell(self, holder, machines)
+        told.append(((id(self), holder), self.clock.seconds(), self.wants_told - before))
+        return heard
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Assignments, "_tell", counted)
+        world = World(
+            4,
+            machines=[{"kind": "big", "zone": "east", "count": 4}],
+            state={"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 24},
+        )
+        shape = {"shape": "sweep", "urgency": "low", "cpus": 0.25, "memory_gb": 0.1}
+        world.clock.callLater(
+            8.0, lambda: world.submit("j-0", parcels=1500, run_s=3.0, standby=True, **shape)
+        )
+        world.run(40.0)
+    large = [entry for entry in told if entry[2] >= MANY_WANTS]
+    assert len(large) > 10
+    for pair, at, wants in large:
+        following = [later for other, later, _ in told if other == pair and later > at]
+        pause = 0.5 * wants / WANTS_AT_ONCE
+        assert not following or following[0] >= at + pause * 0.99
+
+
+def test_nothing_is_kept_free_for_work_of_the_lowest_priority() -> None:
+    world = World(2)
+    world.clock.callLater(
+        8.0, lambda: world.submit("j-low", parcels=3, shape="sweep", urgency="low", run_s=60.0)
+    )
+    world.clock.callLater(
+        8.0,
+        lambda: world.submit(
+            "j-mid", parcels=3, shape="sweep", urgency="normal", run_s=60.0, lane="mid"
+        ),
+    )
+    world.run(20.0)
+    leader = world.nodes[world.leader()].leader
+    assert {spec.priority for spec, _ in leader._needs()} == {"normal"}
