Low work waits while timers fire late; questions that come together share a reading, others are turned away at once

Change: a placer that is late by a tenth of a heartbeat places nothing of the lowest priority; questions of a job that wait for the same reading share it, go behind accepts, and are answered 503 at once when the queue is longer than two heartbeats. Tests fail before.

--- a/src/beamspar/control/api.py
+++ b/src/beamspar/control/api.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -15,7 +16,15 @@
 from beamspar.control.session import Machine
 from beamspar.http import Answer, Call, spawn
 from beamspar.placement import fits_type
-from beamspar.state import URGENT, ConflictError, LeaseExpiredError, StateUnavailableError, put
+from beamspar.state import (
+    ACCEPT,
+    QUESTION_WEIGHT,
+    URGENT,
+    ConflictError,
+    LeaseExpiredError,
+    StateUnavailableError,
+    put,
+)
 from beamspar.wire import (
     JOB_ID,
     InvalidInputError,
@@ -55,6 +64,11 @@
         self.known: OrderedDict[str, tuple[int, JobRecord]] = OrderedDict()
         self.checks: dict[str, list[Deferred[bool]]] = {}
         self.checking = False
+        # Users' questions that wait for a reading which has not left yet.
+        self.reads: dict[str, list[Deferred[dict[str, Any] | None]]] = {}
+        # Questions that were turned away, and when that was said last.
+        self.turned_away = 0
+        self.said_at = -1e9
         self.submitting = 0
         # Small buffers: a share of the memory's worth of submissions in hand.
         self.most_submitting = max(int(node.settings.facts.limits.memory_mb / 2), 16)
@@ -154,6 +168,8 @@
         if not JOB_ID.match(job):
             return reply(404, {"error": "no such job"})
         asked = self.node.clock.seconds()
+        if self._overloaded(job):
+            return busy(self.node.timing.report)
         try:
             found = await self._state_of(job)
         except StateUnavailableError as error:
@@ -170,6 +186,19 @@
             return busy()
         return reply(404, {"error": "no such job"}) if found is None else reply(200, found)
 
+    def _overloaded(self, job: str) -> bool:
+        """Would the user give up before the question has its turn? What ended is known here."""
+        if job in self.ends:
+            return False
+        if self.node.state.questions_backlog_s() <= self.node.timing.heartbeat * 2:
+            return False
+        self.turned_away += 1
+        now = self.node.clock.seconds()
+        if now - self.said_at > self.node.timing.worker_lease:
+            self.said_at = now
+            log.warn("{n} questions turned away so far", n=self.turned_away)
+        return True
+
     async def _state_of(self, job: str) -> dict[str, Any] | None:
         """The job's state, no older than the asking; final states never change."""
         end = self.ends.get(job)
@@ -197,9 +226,35 @@
         status = "running" if record.running else "pending"
         return job_answer(job, status, record.done, record.running)
 
-    async def _read(self, job: str) -> dict[str, Any] | None:
+    def _read(self, job: str) -> Deferred[dict[str, Any] | None]:
+        """The job's state by its stored record. All who ask before the reading leaves share it."""
+        answer: Deferred[dict[str, Any] | None] = Deferred()
+        waiting = self.reads.get(job)
+        if waiting is None:
+            waiting = self.reads[job] = []
+            spawn(self._read_for(job, waiting), f"reading {job}")
+        waiting.append(answer)
+        return answer
+
+    async def _read_for(self, job: str, waiting: list[Deferred[dict[str, Any] | None]]) -> None:
+        def leaves() -> None:
+            # Who asks from now on must not get an answer from before the asking.
+            if self.reads.get(job) is waiting:
+                del self.reads[job]
+
+        try:
+            found = await self._read_record(job, leaves)
+        except StateUnavailableError as error:
+            leaves()
+            for answer in waiting:
+                answer.errback(error)
+            return
+        for answer in waiting:
+            answer.callback(found)
+
+    async def _read_record(self, job: str, leaves: Callable[[], None]) -> dict[str, Any] | None:
         state = self.node.state
-        item = await state.get(records.job_key(job))
+        item = await state.get(records.job_key(job), ACCEPT, QUESTION_WEIGHT, leaves)
         if item is not None:
             record = self._decode(item.value, JobRecord)
             self._remember(self.known, job, (item.version, record))
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -314,8 +314,11 @@
         elif len(self.seen) < 500:
             self.seen[machine.name] = machine
 
-    def _tick(self) -> None:
-        self.clock.callLater(self.timing.heartbeat * (0.9 + 0.2 * self.dice.random()), self._tick)
+    def _tick(self, due: float | None = None) -> None:
+        pause = self.timing.heartbeat * (0.9 + 0.2 * self.dice.random())
+        self.clock.callLater(pause, self._tick, self.clock.seconds() + pause)
+        if due is not None and self.owner is not None:
+            self.owner.placer.fired(due)
         if not self.polling_siblings:
             self.polling_siblings = True
             spawn(self._poll_siblings(), "pulses")
--- a/src/beamspar/control/placer.py
+++ b/src/beamspar/control/placer.py
@@ -21,7 +21,7 @@
 from beamspar.http import Clock, spawn
 from beamspar.placement import Preference, Room, choose, choose_group
 from beamspar.settings import Timing
-from beamspar.wire import Spec
+from beamspar.wire import LOWEST_RANK, Spec
 
 log = Logger(namespace="owner")
 
@@ -30,6 +30,8 @@
 TASKS_AT_ONCE = 200
 # The least time between the beginnings of two rounds, as a share of a heartbeat.
 ROUND_PAUSE = 0.1
+# Timers that fire later than this share of a heartbeat: the processor has no time to spare.
+LATE_SHARE = 0.1
 
 
 class JobBook(Protocol):
@@ -55,6 +57,8 @@
         self.pumping = False
         self.again = False
         self.pumped_at = -1e9
+        # How late timers fire of late: the processor is busy by so much.
+        self.late_s = 0.0
         # Room on machines that this controller holds; what a job prefers; the leader's offers.
         self.rooms: Callable[[], list[Room]] = lambda: []
         self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
@@ -70,11 +74,27 @@
         # the processor. New jobs are placed as they are accepted and don't wait for a round.
         wait = self.pumped_at + self.timing.heartbeat * ROUND_PAUSE - self.clock.seconds()
         if wait > 0:
-            self.clock.callLater(wait, self._begin)
+            self.clock.callLater(wait, self._begin, self.clock.seconds() + wait)
         else:
             self._begin()
 
-    def _begin(self) -> None:
+    def fired(self, due: float) -> None:
+        """A timer that was due then fires now."""
+        self.late_s = max(self.clock.seconds() - due, self.late_s / 2)
+
+    def _takes(self, job: Job) -> bool:
+        """Is there processor time to place the job? What has the lowest priority waits for it.
+
+        An array of 25,000 short tasks kept all controllers busy for minutes, and everybody's
+        requests waited behind its starts and ends.
+        """
+        if job.spec.rank < LOWEST_RANK:
+            return True
+        return self.late_s <= self.timing.heartbeat * LATE_SHARE
+
+    def _begin(self, due: float | None = None) -> None:
+        if due is not None:
+            self.fired(due)
         self.pumped_at = self.clock.seconds()
         self.again = False
         spawn(self._pump(), "placing")
@@ -83,6 +103,8 @@
         try:
             now = self.clock.seconds()
             jobs = [j for j in self.book.jobs.values() if j.waiting(now, 1)]
+            self._flush_held_back(jobs)
+            jobs = [j for j in jobs if self._takes(j)]
             if jobs and self.session.valid():
                 jobs.sort(key=lambda j: (j.spec.rank, j.since))
                 part = self._first(jobs)
@@ -99,6 +121,12 @@
                 self.again = False
                 self.pump()
 
+    def _flush_held_back(self, jobs: list[Job]) -> None:
+        """What is over of jobs that are not placed now is stored without a new place."""
+        for job in jobs:
+            if not self._takes(job):
+                self.book.writer.flush(job)
+
     def _first(self, jobs: list[Job]) -> list[Job]:
         """Some of each shape, in order: many that find no room must not hold up the others."""
         found: list[Job] = []
@@ -116,7 +144,8 @@
 
     async def place(self, jobs: list[Job]) -> None:
         """Warm machines of ours, then by the leader's word, then cold ones of ours."""
-        if not self.session.valid():
+        jobs = [job for job in jobs if self._takes(job)]
+        if not jobs or not self.session.valid():
             return
         now = self.clock.seconds()
         rooms = self.rooms()
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -67,6 +68,8 @@
 NO_LEASE = "no such lease"
 # Priorities of the queue: lower goes first, and within one the lower weight.
 URGENT, ACCEPT, PLACE, DONE, CHORE = range(5)
+# Questions go behind accepts, which have the same priority.
+QUESTION_WEIGHT = 1.0
 
 
 class _Bucket:
@@ -139,6 +142,11 @@
         self._pump()
         return ready
 
+    def questions_backlog_s(self) -> float:
+        """How long a question of a user would wait here for its turn."""
+        ahead = sum(1 for priority, *_ in self.queue if priority <= ACCEPT)
+        return ahead / self.requests.rate
+
     def backlog_s(self) -> float:
         """How long the changes that wait here will take."""
         return sum(changes for _, _, _, changes, _ in self.queue) / self.changes.rate
@@ -204,9 +212,16 @@
         self._note(True)
         return answer.status, data if isinstance(data, dict) else {}
 
-    async def get(self, key: str, priority: int = ACCEPT) -> Item | None:
-        """One key; None if it does not exist."""
-        await self._admit(priority, 0)
+    async def get(
+        self,
+        key: str,
+        priority: int = ACCEPT,
+        weight: float = 0.0,
+        leaves: Callable[[], None] = lambda: None,
+    ) -> Item | None:
+        """One key; None if it does not exist. `leaves` is called as the request leaves."""
+        await self._admit(priority, 0, weight)
+        leaves()
         status, data = await self._call("GET", f"/store/{key}", None, self.limit_s, False)
         if status == 404:
             return None
--- a/tests/test_many_tasks.py
+++ b/tests/test_many_tasks.py
@@ -156,6 +156,25 @@
         assert not following or following[0] >= at + pause * 0.99
 
 
+def test_low_work_waits_while_the_processors_are_busy() -> None:
+    world = World(4, machines=[{"kind": "small", "zone": zone, "count": 4} for zone in ZONES])
+    world.run(10.0)
+    for name in world.names:
+        world.network.cost_s[name] = 0.1
+    world.run(14.0)
+    shape = {"shape": "sweep", "parcels": 6, "run_s": 3.0}
+    world.submit("j-low", urgency="low", **shape)
+    world.submit("j-mid", urgency="normal", **shape)
+    world.run(24.0)
+    assert max(node.owner.placer.late_s for node in world.nodes.values()) > 0.05
+    assert world.checker.starts.get("j-mid") == 6
+    assert "j-low" not in world.checker.starts
+    for name in world.names:
+        world.network.cost_s[name] = 0.0
+    world.run(40.0)
+    assert world.status("j-low") == "done"
+
+
 def test_nothing_is_kept_free_for_work_of_the_lowest_priority() -> None:
     world = World(2)
     world.clock.callLater(
