--- a/src/beamspar/control/placer.py
+++ b/src/beamspar/control/placer.py
@@ -28,10 +28,13 @@
 # Waiting jobs that are placed in one round, and tasks of one job.
 JOBS_AT_ONCE = 64
 TASKS_AT_ONCE = 200
+# The same for the lowest priority: the leader looks at all machines for each task, and everybody
+# else's requests wait for the whole round.
+LOW_TASKS_AT_ONCE = 25
 # The least time between the beginnings of two rounds, as a share of a heartbeat.
 ROUND_PAUSE = 0.1
 # Timers that fire later than this share of a heartbeat: the processor has no time to spare.
-LATE_SHARE = 0.1
+LATE_SHARE = 0.05
 
 
 class JobBook(Protocol):
@@ -46,6 +49,11 @@
         """The machine's zone."""
 
 
+def _at_once(job: Job) -> int:
+    """How many tasks of the job one round may place."""
+    return LOW_TASKS_AT_ONCE if job.spec.rank == LOWEST_RANK else TASKS_AT_ONCE
+
+
 class Placer:
     """Owns the rounds of placing, one at a time."""
 
@@ -174,7 +182,7 @@
             # who knows the warm machines of all.
             if not (job.spec.spread and self.ask):
                 self._fill(job, rooms, near, now, warm_only=True)
-            indexes = job.waiting(now, TASKS_AT_ONCE)
+            indexes = job.waiting(now, _at_once(job))
             whole = job.spec.grouped and not job.bound
             if not indexes or not self._covers(job, indexes, whole):
                 continue
@@ -238,7 +246,7 @@
         if job.spec.grouped and not job.bound:
             self._fill_group(job, rooms, near, now, warm_only)
             return
-        indexes = job.waiting(now, TASKS_AT_ONCE)
+        indexes = job.waiting(now, _at_once(job))
         if not indexes or not self._covers(job, indexes):
             return
         zones, machines = job.places(self.book.zone_of)
