Replicas of one zone are placed with the places of all of them, whatever their number

Found by reading the change: rounds of 25 cut the request of a service whose replicas must share a zone, and part of it was placed (test fails before).

--- a/src/beamspar/control/placer.py
+++ b/src/beamspar/control/placer.py
@@ -50,7 +50,9 @@
 
 
 def _at_once(job: Job) -> int:
-    """How many tasks of the job one round may place."""
+    """How many tasks of the job one round may place; those that start together need all."""
+    if job.spec.grouped:
+        return job.spec.tasks
     return LOW_TASKS_AT_ONCE if job.spec.rank == LOWEST_RANK else TASKS_AT_ONCE
 
 
--- a/tests/test_many_tasks.py
+++ b/tests/test_many_tasks.py
@@ -175,6 +175,24 @@
     assert world.status("j-low") == "done"
 
 
+@pytest.mark.parametrize(("parcels", "running"), [(40, 0), (30, 30)])
+def test_low_replicas_of_one_zone_are_placed_together_or_not_at_all(
+    parcels: int, running: int
+) -> None:
+    world = World(
+        4,
+        machines=[{"kind": "small", "zone": zone, "count": 8} for zone in ZONES],
+        capacity=[
+            {"kind": kind, "zone": zone, "count": 0} for kind in ("small", "big") for zone in ZONES
+        ],
+    )
+    world.clock.callLater(
+        8.0, lambda: world.submit("j-1", parcels=parcels, urgency="low", together=True)
+    )
+    world.run(30.0)
+    assert world.running("j-1") == running
+
+
 def test_nothing_is_kept_free_for_work_of_the_lowest_priority() -> None:
     world = World(2)
     world.clock.callLater(
