The leader's block records and leasing have modules of their own

Change: BlockWriter owns the order and size of the leader's writes, Leasing the decisions on who holds which block; moves and names only, the tests' calls renamed with them. Behaviour is unaltered.

--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -8,19 +8,18 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
-import orjson
 from twisted.logger import Logger
 
 from beamspar.cloud import CloudUnavailableError, NoCapacityError
-from beamspar.control import records
+from beamspar.control.block_writer import BlockWriter
 from beamspar.control.fleet import Fleet
+from beamspar.control.leasing import Leasing
 from beamspar.control.member_view import MemberView
 from beamspar.control.messages import Ask, Directions, Offers, Placed, Summary, View
 from beamspar.control.reservations import Reservations
-from beamspar.control.session import BLOCK, LEADER, PARTITION, Block, Machine, Session, block_record
+from beamspar.control.session import LEADER, Machine, Session
 from beamspar.http import Clock, sleep, spawn
 from beamspar.placement import (
     Preference,
@@ -42,27 +41,16 @@
     LeaseExpiredError,
     StateClient,
     StateUnavailableError,
-    drop,
     put,
 )
 from beamspar.wire import LOWEST_RANK, Spec
 
 log = Logger(namespace="leader")
 
-# Bytes that one machine takes in a block's record, with room to spare.
-MACHINE_BYTES = 160
 # Idle machines that are on their way out at one time, as a share of the fleet.
 RETIRE_AT_ONCE = 1 / 15
 
 
-def _halves(record: dict[str, Any]) -> list[tuple[str, dict[str, Any]]]:
-    """A block's record as two; their keys are still to be named."""
-    machines = record["machines"]
-    middle = -(-len(machines) // 2)
-    parts = [part for part in (machines[:middle], machines[middle:]) if part]
-    return [("", {**record, "machines": part}) for part in parts]
-
-
 class Leader:
     """Owns the view of the whole fleet while this controller leads."""
 
@@ -82,16 +70,24 @@
         self.state = state
         self.fleet = fleet
         self.settings = settings
-        self.limits = settings.facts.state.smallest
         self.timing = timing
         self.tuning = tuning
         self.dice = dice
-        self.sites = {s.member: s.site for s in settings.siblings}
-        self.sites[settings.member] = settings.site
         self.members: dict[str, MemberView] = {}
+        self.blocks = BlockWriter(session, state, settings.facts.state.smallest)
+        self.leasing = Leasing(
+            clock,
+            session,
+            self.blocks,
+            fleet,
+            settings,
+            timing,
+            tuning,
+            self.members,
+            self.views,
+        )
         # Per machine what was lent there and is not in its holder's view yet.
         self.loans: dict[str, list[tuple[Spec, float]]] = {}
-        self.seen: dict[str, tuple[Machine, float]] = {}
         self.wishes: dict[str, tuple[Spec, int, float]] = {}
         # Machines kept for large gangs that waited long.
         self.reservations = Reservations(timing)
@@ -109,23 +105,17 @@
         # Until when nothing is decided, for the lead is being handed over.
         self.paused_until = -1e9
         self.told_ready = False
-        # Members that lost their workers, and until when they get no blocks.
-        self.blind: dict[str, float] = {}
         # Idle machines that are to go back, and their holders.
         self.retiring: dict[str, str] = {}
         # The largest job of each class of late, and when it was seen.
         self.largest: dict[str, tuple[int, float]] = {}
         self.leading_since: float | None = None
-        # The grant behind the lead, and the revision by which it is ours.
-        self.permit = 0
+        # The revision by which the lead is ours.
         self.elected_at = 0
         self.electing = False
-        self.leasing = False
         self.renting = False
         self.listing = False
         self.preference: Callable[[Spec], Preference] = lambda spec: Preference()
-        # Since when a sibling does not answer us, None when it does.
-        self.unreached: Callable[[str], float | None] = lambda member: None
 
     # -- election
 
@@ -154,7 +144,7 @@
             return True
         # A fence is kept by all that ever registered; those without a grant are dead.
         known = sum(1 for key in self.session.values if key.startswith("c/fence/"))
-        awaited = {m for m in self.session.members if not self._out_of_reach(m)}
+        awaited = {m for m in self.session.members if not self.leasing.out_of_reach(m)}
         awaited.discard(self.replaced)
         return known >= self.settings.facts.nodes and awaited <= self.confirmed()
 
@@ -200,7 +190,7 @@
         except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
             log.info("not elected: {error}", error=error)
         else:
-            self.permit, self.elected_at = permit, revision
+            self.blocks.permit, self.elected_at = permit, revision
             self.replaced = replaces if failed else ""
             self.decisions.begin(revision)
             self.fleet.take_over()
@@ -246,9 +236,9 @@
         if not self.told_ready:
             self.told_ready = True
             self.on_ready()
-        if not self.leasing:
-            self.leasing = True
-            spawn(self._lease(), "leasing blocks")
+        if not self.leasing.running:
+            self.leasing.running = True
+            spawn(self.leasing.run(now - self.leading_since), "leasing blocks")
         if not self.listing and now - self.fleet.listed_at > max(
             self.timing.report, self.fleet.gap * 2
         ):
@@ -260,291 +250,6 @@
         self._watch_machines(now)
         self._retire(now)
 
-    # -- blocks
-
-    async def _commit(self, conditions: dict[str, int], changes: list[dict[str, Any]]) -> int:
-        """One write of the leader's; it counts while it leads.
-
-        Each checks the lead's record and writes it anew, so that all are in one order: one
-        that got no answer can't be applied after a newer one. Two leases of the same new
-        machine, grouped differently, would each have found their own key free.
-        """
-        value, version = self.session.values.get(LEADER, (None, 0))
-        if value is None or value.get("name") != self.session.me:
-            raise LeaseExpiredError("the lead has passed on")
-        revision = await self.state.multi(
-            {**self.session.fence(), **conditions, LEADER: version},
-            [*changes, put(LEADER, value, self.permit)],
-            URGENT,
-        )
-        self.session.learn(LEADER, value, revision)
-        return revision
-
-    async def _lease(self) -> None:
-        try:
-            await self._fail_over_dead()
-            await self._lease_new()
-            await self._drop_returned()
-            await self._rebalance()
-            await self._move_unserved()
-        except ConflictError as error:
-            log.info("leasing again: {failed}", failed=error.failed)
-        except (StateUnavailableError, LeaseExpiredError) as error:
-            log.info("leasing waits: {error}", error=error)
-        finally:
-            self.leasing = False
-
-    def _pick_holder(self, zone: str, counts: dict[str, int]) -> str:
-        """Prefer a controller in the machine's zone: a cut leaves them together."""
-        return min(counts, key=lambda m: (self.sites.get(m) != zone, counts[m], m))
-
-    def _counts(self) -> dict[str, int]:
-        counts = dict.fromkeys(self.session.members, 0)
-        for block in self.session.blocks.values():
-            if block.holder in counts:
-                counts[block.holder] += len(block.machines)
-        return counts
-
-    async def _fail_over_dead(self) -> None:
-        """A member whose grant ended is fenced out first; then its work goes on elsewhere."""
-        owners = {f.owner for f in self.session.partitions.values()}
-        holders = {b.holder for b in self.session.blocks.values()}
-        for dead in sorted((owners | holders) - self.session.members):
-            fence_key = f"c/fence/{dead}"
-            old, version = self.session.values.get(fence_key, ({}, 0))
-            terms = {f"c/member/{dead}": 0}
-            if not old.get("dead"):
-                # What else its fence says stays: its release is known beyond its death.
-                value = {**old, "inc": int(old.get("inc", 0)) + 1, "dead": True}
-                revision = await self._commit(
-                    {**terms, fence_key: version}, [put(fence_key, value)]
-                )
-                self.session.learn(fence_key, value, revision)
-                log.warn("{dead} is dead: its jobs and blocks move", dead=dead)
-            changes: list[tuple[str, Any]] = []
-            counts = self._counts()
-            if not counts:
-                return
-            successors = sorted(counts)
-            for index, (name, partition) in enumerate(sorted(self.session.partitions.items())):
-                if partition.owner == dead:
-                    successor = successors[index % len(successors)]
-                    changes.append((PARTITION + name, {"owner": successor}))
-            for name, block in self.session.blocks.items():
-                if block.holder == dead:
-                    zone = block.machines[0].zone if block.machines else ""
-                    successor = self._pick_holder(zone, counts)
-                    counts[successor] += len(block.machines)
-                    value = block_record(successor, block.machines, self._still_live(dead, block))
-                    changes.append((BLOCK + name, value))
-            await self._write(changes, terms)
-
-    def _still_live(self, holder: str, block: Block) -> bool:
-        """May one from before this holder still act there? Not once its workers know better."""
-        member = self.members.get(holder)
-        for machine in block.machines if block.live else ():
-            view, _ = member.machines.get(machine.name, (None, 0.0)) if member else (None, 0.0)
-            if view is None or not view.fresh or view.number < block.base:
-                return True
-        return False
-
-    async def _write(
-        self, changes: list[tuple[str, Any]], terms: dict[str, int] | None = None
-    ) -> None:
-        groups = [self._within_limit(key, value) for key, value in changes]
-        while groups:
-            part: list[tuple[str, Any]] = []
-            size = 0.0
-            while groups and len(part) + len(groups[0]) < self.limits.txn_ops:
-                size += sum(len(orjson.dumps(value)) for _, value in groups[0]) / 1024
-                if part and size > records.TXN_KB * records.MARGIN:
-                    # Blocks of a very large fleet: more of them than one transaction holds.
-                    break
-                part += groups.pop(0)
-            conditions = dict(terms or {})
-            for key, _ in part:
-                conditions[key] = self.session.values.get(key, (None, 0))[1]
-            puts = [drop(k) if v is None else put(k, v) for k, v in part]
-            revision = await self._commit(conditions, puts)
-            for key, value in part:
-                if value is not None:
-                    self.session.learn(key, value, revision)
-
-    def _within_limit(self, key: str, value: Any) -> list[tuple[str, Any]]:
-        """The change itself, or several blocks in its place where it is larger than a value
-        may be. They are written together: a machine that is in no block counts as returned."""
-        parts = [(key, value)]
-        if not key.startswith(BLOCK) or value is None:
-            return parts
-        most = self.limits.value_kb * 1024 * records.MARGIN
-        while len(orjson.dumps(parts[0][1])) > most and len(parts[0][1]["machines"]) > 1:
-            parts = [half for _, part in parts for half in _halves(part)]
-        if len(parts) == 1 or len(parts) >= self.limits.txn_ops:
-            return [(key, value)]
-        named = [(key, parts[0][1])]
-        for _, part in parts[1:]:
-            name = self._free_name(part["machines"][0]["name"])
-            named.append((BLOCK + name, part))
-        return named
-
-    def saw(self, machine: Machine) -> None:
-        """A worker without a holder reported somewhere."""
-        if machine.name not in self.fleet.returned:
-            self.seen[machine.name] = (machine, self.clock.seconds())
-
-    def _block_size(self, new: int) -> int:
-        """So many machines that one transaction moves about all of a controller's blocks."""
-        facts, limits = self.settings.facts, self.limits
-        # The cloud's list may be late or out of reach: what reports is there as well.
-        fleet = max(self.fleet.counted, len(self.session.block_of) + new)
-        fitting = int(limits.value_kb * 1024 / 2 / MACHINE_BYTES)
-        size = -(-fleet // (max(facts.nodes, 1) * limits.txn_ops))
-        return max(min(self.tuning.block_size or size, fitting), 1)
-
-    async def _lease_new(self) -> None:
-        waited = self.clock.seconds() - (self.leading_since or 0.0)
-        if not self.fleet.listed and waited < self.timing.report * 2:
-            # How large the fleet is decides how large blocks are.
-            return
-        new = [
-            m
-            for m, _ in self.seen.values()
-            if m.name not in self.session.block_of and m.name not in self.fleet.returned
-        ]
-        self.seen.clear()
-        if not new:
-            return
-        counts = self._counts()
-        size = self._block_size(len(new))
-        groups: dict[tuple[str, str, bool], list[Machine]] = {}
-        for machine in sorted(new, key=lambda m: m.name):
-            self.fleet.up(machine.name)
-            groups.setdefault((machine.zone, machine.kind, machine.spot), []).append(machine)
-        changes: list[tuple[str, Any]] = []
-        for (zone, kind, _), machines in groups.items():
-            for low in range(0, len(machines), size):
-                part = machines[low : low + size]
-                holder = self._pick_holder(zone, counts)
-                counts[holder] += len(part)
-                value = block_record(holder, part)
-                changes.append((BLOCK + self._free_name(part[0].name), value))
-                log.info(
-                    "leasing {names} ({kind}, {zone}) to {holder}",
-                    names=[m.name for m in part],
-                    kind=kind,
-                    zone=zone,
-                    holder=holder,
-                )
-        await self._write(changes)
-
-    def _free_name(self, machine: str) -> str:
-        """A block's name is its first machine's, unless another block still goes by it.
-
-        A block keeps its name when that machine has been returned; a late copy of the
-        machine's report once got it leased again, in place of the block and all in it.
-        """
-        name = machine
-        while name in self.session.blocks:
-            name += "+"
-        return name
-
-    async def _drop_returned(self) -> None:
-        """The cloud has confirmed these are gone: without a block their tasks are too."""
-        changes: list[tuple[str, Any]] = []
-        for name, block in self.session.blocks.items():
-            left = [m for m in block.machines if m.name not in self.fleet.returned]
-            if len(left) == len(block.machines):
-                continue
-            if left:
-                value = block_record(block.holder, left, block.live, block.number)
-                changes.append((BLOCK + name, value))
-            else:
-                changes.append((BLOCK + name, None))
-        if changes:
-            await self._write(changes)
-
-    def _out_of_reach(self, member: str) -> bool:
-        since = self.unreached(member)
-        return since is not None and self.clock.seconds() - since > self.timing.out_of_reach
-
-    def _heard(self) -> set[str]:
-        """Live members that this leader and its workers can be expected to reach."""
-        now = self.clock.seconds()
-        return {
-            m
-            for m in self.session.members
-            if m in self.members and now - self.members[m].heard_at < self.timing.report
-        }
-
-    async def _rebalance(self) -> None:
-        """Move blocks to live controllers that came back with none, their zone's first.
-
-        A few at a time: the new holder must reach each worker before it can start there.
-        """
-        now = self.clock.seconds()
-        # One that its workers could not reach a moment ago gets nothing yet.
-        able = {m for m in self._heard() if self.blind.get(m, 0.0) < now}
-        counts = {m: n for m, n in self._counts().items() if m in able}
-        if len(counts) < 2:
-            return
-        fair = sum(counts.values()) / len(counts)
-        changes: list[tuple[str, Any]] = []
-        for name, block in self.session.blocks.items():
-            if block.holder not in counts or not block.machines:
-                continue
-            zone, size = block.machines[0].zone, len(block.machines)
-            successor = self._pick_holder(zone, counts)
-            home = self.sites.get(successor) == zone
-            if successor == block.holder or (home and self.sites.get(block.holder) == zone):
-                # Within a zone, or without one of its own, only a clear imbalance counts.
-                successor = min(counts, key=lambda m: (counts[m], m))
-                if home and self.sites.get(successor) != zone:
-                    continue
-                home = False
-            if not home and counts[block.holder] - counts[successor] < max(fair / 4, 3 * size):
-                continue
-            counts[block.holder] -= size
-            counts[successor] += size
-            log.info("moving {name} from {a} to {b}", name=name, a=block.holder, b=successor)
-            changes.append((BLOCK + name, block_record(successor, block.machines, live=True)))
-            if len(changes) >= max(self.limits.txn_ops // 4, 1):
-                break
-        if changes:
-            await self._write(changes)
-
-    async def _move_unserved(self) -> None:
-        """Machines whose holder we don't hear, or that it does not hear, go to whom they come to.
-
-        A controller cut off with its zone is not dead before its grant ends, and one that
-        lost only its workers not at all, but the workers' leases end sooner. A live move
-        is safe without its knowing. A crashed one, whose address refuses, is left to come
-        back.
-        """
-        now = self.clock.seconds()
-        found: dict[str, str] = {}
-        deaf = self._cut_off_members()
-        for member in sorted(self._heard()):
-            for name in self.members[member].unserved:
-                block = self.session.blocks.get(self.session.block_of.get(name, ""))
-                if block is None or block.holder == member:
-                    continue
-                holder = self.members.get(block.holder)
-                view, _ = holder.machines.get(name, (None, 0.0)) if holder else (None, 0.0)
-                if self._out_of_reach(block.holder):
-                    found.setdefault(self.session.block_of[name], member)
-                elif block.holder in deaf and view and view.silent_s > self.timing.out_of_reach:
-                    # Not for one machine alone: that one may hear nobody's answers, and
-                    # would go round for ever.
-                    self.blind[block.holder] = now + self.timing.worker_lease * 2
-                    found.setdefault(self.session.block_of[name], member)
-        changes: list[tuple[str, Any]] = []
-        for name, member in found.items():
-            block = self.session.blocks[name]
-            log.info("moving {name}, a stray of {a}, to {b}", name=name, a=block.holder, b=member)
-            changes.append((BLOCK + name, block_record(member, block.machines, live=True)))
-        if changes:
-            await self._write(changes)
-
     # -- summaries and loans
 
     def heartbeat(self, summary: Summary) -> Directions:
@@ -565,7 +270,7 @@
                 self.shapes[name] = msgspec.convert(job_class.spec, Spec)
         for raw in summary.seen:
             try:
-                self.saw(msgspec.convert(raw, Machine))
+                self.leasing.saw(msgspec.convert(raw, Machine))
             except msgspec.ValidationError as error:
                 log.info("odd machine in a summary: {error}", error=error)
         retire = [name for name, holder in self.retiring.items() if holder == summary.member]
@@ -771,23 +476,11 @@
     def _may_rent(self) -> None:
         self.renting = False
 
-    def _cut_off_members(self) -> set[str]:
-        """Members that hear few of their machines: they have lost them, not they their power."""
-        held: dict[str, int] = {}
-        quiet: dict[str, int] = {}
-        for view in self.views():
-            member = (self.session.holder_of(view.room.name) or ("", 0))[0]
-            held[member] = held.get(member, 0) + 1
-            quiet[member] = quiet.get(member, 0) + (view.silent_s > self.timing.silent / 2)
-        now = self.clock.seconds()
-        known = {m for m, until in self.blind.items() if until > now}
-        return known | {m for m, n in held.items() if n > 2 and quiet[m] * 2 > n}
-
     def _watch_machines(self, now: float) -> None:
         """Return machines that are certainly of no use any more."""
         silent: dict[str, list[View]] = {}
         total: dict[str, int] = {}
-        deaf = self._cut_off_members()
+        deaf = self.leasing.cut_off_members()
         for view in self.views():
             name = view.room.name
             total[view.room.zone] = total.get(view.room.zone, 0) + 1
@@ -813,7 +506,7 @@
         """
         idle: list[tuple[float, View]] = []
         rooms: list[Room] = []
-        if not self.session.members <= self._heard():
+        if not self.session.members <= self.leasing.heard():
             # Somebody's room and needs are not known: nothing is surplus now.
             self.retiring.clear()
             return
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -152,7 +152,7 @@
         owner.placer.rooms, owner.placer.ask = self._rooms, self._ask
         owner.assignments.send = self._send_syncs
         owner.placer.preference = leader.preference = self._preference
-        leader.unreached = self.unreached.get
+        leader.leasing.unreached = self.unreached.get
         holder.caches = self.caches
         holder.push = self._push
         holder.on_room = owner.pump
@@ -167,7 +167,7 @@
                 session,
                 leader,
                 self.timing,
-                leader.sites,
+                leader.leasing.sites,
                 self._deliver,
                 self._summary,
             )
@@ -310,7 +310,7 @@
         """A worker that no block names: the leader should lease it."""
         leader = self.leader
         if leader is not None and leader.leading:
-            leader.saw(machine)
+            leader.leasing.saw(machine)
         elif len(self.seen) < 500:
             self.seen[machine.name] = machine
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -55,7 +55,7 @@
     leader, recorder = make(NextLimits(value_kb=1.0))
     leader.session.learn(KEY, block_record("rig-1", machines(20)), 7)
     moved = block_record("rig-0", machines(20), live=True)
-    ensureDeferred(leader._write([(KEY, moved)]))
+    ensureDeferred(leader.blocks.write([(KEY, moved)]))
     ((conditions, changes),) = recorder.written
     blocks = {c["put"]: c["data"] for c in changes if c["put"].startswith("c/block/")}
     assert len(blocks) > 1 and conditions[KEY] == 7
@@ -71,7 +71,7 @@
     for n in range(4):
         part = [msgspec.structs.replace(m, name=f"{m.name}-{n}") for m in machines(14)]
         changes.append((f"c/block/{part[0].name}", block_record("rig-0", part)))
-    ensureDeferred(leader._write(changes))
+    ensureDeferred(leader.blocks.write(changes))
     for _, written in recorder.written:
         assert len(written) <= 6
     for key, value in changes:
