Sharing of machines among controllers: planner, handover, release, leave

The leader plans moves by demand, asks the sources to prepare, and moves blocks by their records alone; the source then tells the target when it answered each worker last and what else it knows. A controller leaves by one record, changed by compare-and-set. Leasing passes by controllers that leave; the list of draining machines follows the present holder. With sharing on, an order that only lacked the session is repeated at once.

--- a/beamsparctl.py
+++ b/beamsparctl.py
@@ -6,7 +6,7 @@
 ROOT = Path(__file__).resolve().parent
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
 
-from beamspar.standby.command import main  # noqa: E402
+from beamspar.sharing.command import main  # noqa: E402
 
 if __name__ == "__main__":
     main()
--- a/src/beamspar/cli.py
+++ b/src/beamspar/cli.py
@@ -98,6 +98,13 @@
     envvar="BEAMSPAR_STANDBY",
     help="Follow the leader's decisions, and take over within seconds when it fails.",
 )
+@click.option(
+    "--sharing/--no-sharing",
+    default=False,
+    show_default=True,
+    envvar="BEAMSPAR_SHARING",
+    help="Move machines between controllers by load, on request, and when one leaves.",
+)
 @click.version_option(__version__, prog_name="beamspar")
 def main(
     config: str,
@@ -106,6 +113,7 @@
     lease_share: float,
     headroom: float,
     standby: bool,
+    sharing: bool,
 ) -> None:
     """Run one beamspar controller."""
     try:
@@ -116,4 +124,5 @@
     if check:
         click.echo(f"{config}: settings are in order")
         return
-    serve(settings, Tuning(block_size, lease_share, headroom=headroom, standby=standby))
+    tuning = Tuning(block_size, lease_share, headroom, standby, sharing)
+    serve(settings, tuning)
--- a/src/beamspar/control/fleet.py
+++ b/src/beamspar/control/fleet.py
@@ -79,6 +79,8 @@
         # Rentals of a former leader whose answer it did not live to see.
         self.inherited: list[RentalAsked] = []
         self.due: set[str] = set()
+        # Those whose return the cloud is being asked for.
+        self.going: set[str] = set()
         self.returning = False
         self.busy = False
         self.listed_at = -1e9
@@ -163,6 +165,7 @@
             while self.due:
                 names = sorted(self.due)[:RETURN_AT_ONCE]
                 self.due.difference_update(names)
+                self.going.update(names)
                 try:
                     await self.cloud.give_back(names)
                 except (CloudUnavailableError, NoCapacityError) as error:
@@ -174,6 +177,8 @@
                     gone = [self.listed.get(name) or self.booting.get(name) for name in names]
                     freed = {(g.kind, g.zone, bool(g.spot)) for g in gone if g is not None}
                     self.decisions.decide(MachinesReturned(names, sorted(freed)))
+                finally:
+                    self.going.difference_update(names)
                 await sleep(self.clock, self.gap)
         finally:
             self.returning = False
--- a/src/beamspar/control/held_machine.py
+++ b/src/beamspar/control/held_machine.py
@@ -50,6 +50,14 @@
         self.images: dict[str, float] = {}
         # When somebody entitled may have answered its worker last.
         self.last_answer = answered
+        # When we answered it last ourselves.
+        self.answered_at = -1e9
+        # Nobody who held it before us can answer its worker any more.
+        self.sole = False
+        # What its former holder knew was taken over.
+        self.taken_over = False
+        # Until when nothing new is started there, for it is about to move.
+        self.paused_until = -1e9
         # Its own reports only: one that can't reach us answers orders all the same.
         self.reported_at = now
         self.idle_since = now
--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -69,7 +69,11 @@
         self.owners: dict[str, str] = {}
         self.push: Callable[[str, list[Status]], None] = lambda owner, statuses: None
         self.on_room: Callable[[], None] = lambda: None
+        # Told of each machine that became another controller's, with its new holder and number.
+        self.on_released: Callable[[HeldMachine, str, int], None] = lambda machine, holder, n: None
         self.faults = FaultEvidence(timing)
+        # An order that only lacked the worker's session is repeated at once, not after a pause.
+        self.repeats_at_once = False
         self.changes = 0
         # The cache map as the leader passes it on: reports don't list what is cached, so
         # a new holder would think its machines cold.
@@ -100,6 +104,7 @@
                 if known is None or known.number != block.number:
                     since = self.session.silent_since(info.name, block.live)
                     machine = HeldMachine(info, block.number, now, since)
+                    machine.sole = not block.live
                     if known is not None:
                         machine.images = known.images
                     self._recall(machine)
@@ -117,7 +122,9 @@
             held = self.session.holder_of(name)
             if held is None or held != (self.session.me, self.machines[name].number):
                 log.info("no longer holding {machine}", machine=name)
-                del self.machines[name]
+                machine = self.machines.pop(name)
+                if held is not None and held[0] != self.session.me:
+                    self.on_released(machine, *held)
 
     def _take_wants(self, machine: HeldMachine) -> None:
         for partition, machines in self.stream_wants.items():
@@ -190,6 +197,8 @@
         fresh, noticed = machine.fresh, machine.notice_s
         machine.notice_s = report.notice_s
         machine.fresh = machine.fresh or report.token == machine.token
+        # A worker that knows our number takes no answer of a former holder.
+        machine.sole = machine.sole or machine.fresh
         old = machine.tasks
         news: list[tuple[Key, TaskReport]] = []
         gone: list[Key] = []
@@ -213,6 +222,7 @@
     def _answered(self, machine: HeldMachine) -> None:
         """Only a worker that knows our number takes no answer of a former holder."""
         now = self.clock.seconds()
+        machine.answered_at = now
         machine.last_answer = now if machine.fresh else max(machine.last_answer, now)
 
     def _seen(self, machine: HeldMachine, key: Key, task: TaskReport) -> None:
@@ -236,7 +246,10 @@
             self._recall(self.machines[name])
 
     def _recall(self, machine: HeldMachine) -> None:
-        known = self.caches.get(machine.info.name, {})
+        self.learn_images(machine, self.caches.get(machine.info.name, {}))
+
+    def learn_images(self, machine: HeldMachine, known: dict[str, float]) -> None:
+        """What others knew of the machine's cache, as far as we don't."""
         if known.keys() - machine.images.keys():
             machine.images = {**known, **machine.images}
             self._trim(machine)
@@ -392,6 +405,7 @@
             and not machine.lost
             and machine.notice_s is None
             and not machine.retiring
+            and machine.paused_until <= self.clock.seconds()
             and machine.sick_until <= self.clock.seconds()
             # Nor is one that hears no orders, or whose lease runs out for want of reports.
             and machine.failed_orders < 2
@@ -492,9 +506,12 @@
             for key in machine.open
             if key in machine.wants and key not in machine.tasks and key not in machine.over
         ]
+        paused = machine.paused_until > self.clock.seconds()
         for key, want in sorted(missing, key=lambda item: item[1].rank):
             start = machine.starts.get(key)
             withdrawn = self.session.is_withdrawn(key[0].partition("/")[0])
+            if start is None and paused and want.action in (RUN, HOLD):
+                continue
             if start is not None and start.answered and not start.doubt:
                 # It was there, and a newer report does not list it.
                 self._mark_over(machine, key, GONE)
@@ -641,18 +658,28 @@
             elif start.session == report.session and machine.starts.get(key) is start:
                 # Refused for the number: a higher one is out, so it can't run.
                 start.doubt = True
-        before = machine.session
+        # By the session that was sent: what we know of it may have changed meanwhile.
+        outdated = session != report.session
         if not done:
-            machine.next_order = self.clock.seconds() + (
-                0.0 if before != report.session else self.timing.retry
-            )
+            machine.next_order = self.clock.seconds() + (0.0 if outdated else self.timing.retry)
         self._absorb(machine, report)
-        if not machine.fresh:
+        if not machine.fresh and not (outdated and self.repeats_at_once):
             # Not the word we wait for (a session that must end first): no haste.
             machine.next_order = max(machine.next_order, self.clock.seconds() + self.timing.retry)
         if self.machines.get(machine.info.name) is machine:
             self.step(machine)
 
+    def pause(self, machine: HeldMachine, until: float) -> None:
+        """Start nothing new there until then. What runs goes on, and reports are answered."""
+        machine.paused_until = until
+        self.clock.callLater(max(until - self.clock.seconds(), 0.0) + 0.001, self._resume, machine)
+
+    def _resume(self, machine: HeldMachine) -> None:
+        if self.machines.get(machine.info.name) is machine:
+            # What was wanted meanwhile is due now.
+            machine.touch_all()
+            self.step(machine)
+
     # -- time
 
     def tick(self) -> None:
--- a/src/beamspar/control/leader.py
+++ b/src/beamspar/control/leader.py
@@ -41,6 +41,7 @@
     LeaseExpiredError,
     StateClient,
     StateUnavailableError,
+    drop,
     put,
 )
 from beamspar.wire import LOWEST_RANK, Spec
@@ -100,6 +101,8 @@
         self.replaced = ""
         # After a takeover, lend in zones that are confirmed before all of them are.
         self.lends_by_zone = False
+        # Does this controller stand for election? Not while it leaves.
+        self.stands: Callable[[], bool] = lambda: True
         # Called once the first decision may be made.
         self.on_ready: Callable[[], None] = lambda: None
         # Until when nothing is decided, for the lead is being handed over.
@@ -212,6 +215,16 @@
                 log.info("keeping the lead: {error}", error=error)
             await sleep(self.clock, self.timing.lead / 4)
 
+    async def give_up(self) -> None:
+        """Let another controller lead; raises what a transaction raises, and can be repeated."""
+        if self.leasing.running:
+            return
+        # Nothing is decided that the next leader would not know.
+        self.paused_until = self.clock.seconds() + self.timing.call * 2
+        _, version = self.session.values.get(LEADER, (None, 0))
+        await self.state.multi({LEADER: version, **self.session.fence()}, [drop(LEADER)], URGENT)
+        log.info("{me} gives up the lead", me=self.session.me)
+
     def tick(self) -> None:
         """Stand for election, or see to what is due while leading."""
         if not self.session.valid():
@@ -220,7 +233,7 @@
         value, _ = self.session.values.get(LEADER, (None, 0))
         if value is None:
             self.leading_since = None
-            if not self.electing:
+            if not self.electing and self.stands():
                 self.electing = True
                 spawn(self.elect(), "election")
             return
@@ -273,7 +286,12 @@
                 self.leasing.saw(msgspec.convert(raw, Machine))
             except msgspec.ValidationError as error:
                 log.info("odd machine in a summary: {error}", error=error)
-        retire = [name for name, holder in self.retiring.items() if holder == summary.member]
+        # By the present holder: a machine that drains goes on draining when its block moves.
+        retire = [
+            name
+            for name in self.retiring
+            if (self.session.holder_of(name) or ("", 0))[0] == summary.member
+        ]
         caches = {
             name: images
             for name, (images, count) in self.lead.caches.items()
--- a/src/beamspar/control/leasing.py
+++ b/src/beamspar/control/leasing.py
@@ -56,6 +56,8 @@
         self.blind: dict[str, float] = {}
         # Since when a sibling does not answer us, None when it does.
         self.unreached: Callable[[str], float | None] = lambda member: None
+        # Members that get no blocks, for they are leaving.
+        self.excluded: Callable[[], set[str]] = lambda: set()
         # Moves blocks between the living.
         self.balance: Callable[[], Awaitable[None]] = self._rebalance
 
@@ -79,8 +81,8 @@
         return min(counts, key=lambda m: (self.sites.get(m) != zone, counts[m], m))
 
     def counts(self) -> dict[str, int]:
-        """How many machines each live member holds."""
-        counts = dict.fromkeys(self.session.members, 0)
+        """How many machines each live member holds, of those that may get more."""
+        counts = dict.fromkeys(self.session.members - self.excluded(), 0)
         for block in self.session.blocks.values():
             if block.holder in counts:
                 counts[block.holder] += len(block.machines)
@@ -254,7 +256,7 @@
         now = self.clock.seconds()
         found: dict[str, str] = {}
         deaf = self.cut_off_members()
-        for member in sorted(self.heard()):
+        for member in sorted(self.heard() - self.excluded()):
             for name in self.members[member].unserved:
                 block = self.session.blocks.get(self.session.block_of.get(name, ""))
                 if block is None or block.holder == member:
--- a/src/beamspar/control/member_view.py
+++ b/src/beamspar/control/member_view.py
@@ -20,6 +20,9 @@
         self.classes: dict[str, JobClass] = {}
         # Machines whose workers came to this member, for their holder does not answer them.
         self.unserved: list[str] = []
+        # Tasks of its jobs that are bound or waiting, and how late its timers fire.
+        self.demand = 0
+        self.late_s = 0.0
 
     def take(self, summary: Summary, now: float) -> bool:
         """Take in a heartbeat; False if it builds on one that did not come."""
@@ -31,5 +34,6 @@
             # Before that it counts as not heard: room that was not told would be rented.
             self.heard_at = now
         self.unserved = summary.strays
+        self.demand, self.late_s = summary.demand, summary.late_s
         self.machines.update({view.room.name: (view, now) for view in summary.views})
         return True
--- a/src/beamspar/control/messages.py
+++ b/src/beamspar/control/messages.py
@@ -151,6 +151,9 @@
     strays: list[str] = []
     # More changes than one message holds: the next heartbeat goes on where this one ends.
     partial: bool = False
+    # Tasks of its jobs that are bound or waiting, and how late its timers fire.
+    demand: int = 0
+    late_s: float = 0.0
 
 
 class Directions(msgspec.Struct):
--- a/src/beamspar/control/node.py
+++ b/src/beamspar/control/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import orjson
@@ -57,6 +57,9 @@
 from beamspar.wire import BODY_LIMIT, MachineType, Spec, convert, pack, unpack
 from beamspar.workers import WorkerClient
 
+if TYPE_CHECKING:
+    from beamspar.sharing.service import Sharing
+
 log = Logger(namespace="node")
 
 TYPES = "c/types"
@@ -83,6 +86,9 @@
         self.leader: Leader | None = None
         self.budget: Budget | None = None
         self.standby: Standby | None = None
+        self.sharing: Sharing | None = None
+        # It has left the service in order, and is not registered.
+        self.has_left = False
         self.peers = {s.member: s.peer_addr for s in settings.siblings}
         self.heard: dict[str, float] = {}
         self.failed: dict[str, float] = {}
@@ -172,6 +178,21 @@
                 self._summary,
             )
             session.listeners.append(self._greet_leader)
+        self.sharing = None
+        if self.tuning.sharing:
+            # Loaded only where it is on: each module costs time at the start.
+            from beamspar.sharing.service import Sharing
+
+            self.sharing = Sharing(
+                self.clock,
+                session,
+                self.state,
+                holder,
+                leader,
+                self.timing,
+                self._deliver,
+                self._resign,
+            )
         await session.start()
         if self.standby is not None:
             self.standby.start()
@@ -197,8 +218,41 @@
     def _again(self, session: Session) -> None:
         if session is self.session:
             self.session = self.holder = self.owner = self.leader = self.budget = None
-            self.standby = None
-            spawn(self._stand(), "standing")
+            self.standby = self.sharing = None
+            if not self.has_left:
+                spawn(self._stand(), "standing")
+
+    async def _resign(self) -> None:
+        """End the registration: nothing is held here, and others get our jobs at once."""
+        session = self.session
+        if session is None:
+            return
+        self.has_left, self.ready = True, False
+        permit = session.permit
+        session.end("it has left the service")
+        log.warn("{me} has left: the process may be stopped", me=session.me)
+        try:
+            await self.state.revoke(permit)
+        except (StateUnavailableError, LeaseExpiredError) as error:
+            log.info("the grant ends by itself: {error}", error=error)
+
+    async def _answer_sharing(self, name: str, body: bytes) -> bytes | None:
+        sharing = self.sharing
+        if sharing is not None and sharing.session.started and not sharing.session.lost:
+            return await sharing.answer(name, body)
+        if not self.has_left:
+            return None
+        from beamspar.sharing.messages import CommandReply, LeaveRequest
+        from beamspar.sharing.service import shares_of_one_that_left
+
+        if name == "shares":
+            return encode(shares_of_one_that_left(self.settings.member))
+        if name == "leave":
+            if decode(body, LeaveRequest).undo:
+                self.has_left = False
+                spawn(self._stand(), "standing")
+            return encode(CommandReply(True))
+        return None
 
     async def _fetch_types(self) -> None:
         """Machine types from the cloud; the stored copy serves while it is down."""
@@ -253,6 +307,8 @@
 
     def healthy(self) -> bool:
         """Can requests be taken here? In an outage that all share, staying is better."""
+        if self.sharing is not None and self.sharing.leave.is_leaving():
+            return False
         return self.ready and bool(self.types) and self.refuge() is None
 
     def refuge(self) -> str | None:
@@ -332,6 +388,8 @@
             self.owner.tick()
             self.budget.tick()
             self.leader.tick()
+            if self.sharing is not None:
+                self.sharing.tick()
             self._heartbeat()
         except Exception:
             log.failure("tick failed")
@@ -513,10 +571,16 @@
                 job_class.largest = max(job_class.largest, job.spec.tasks)
         return classes
 
+    def _demand(self) -> int:
+        """Tasks of our jobs that are bound or waiting."""
+        assert self.owner
+        live = [job for job in self.owner.jobs.values() if job.status == records.LIVE]
+        return sum(job.spec.tasks - job.done_count for job in live)
+
     def _summary(self, known: int = 0) -> Summary:
         """What changed here after that count of changes; all of it without one."""
         session = self.session
-        assert session and self.holder
+        assert session and self.holder and self.owner
         views, count = self.holder.views(known)
         return Summary(
             session.me,
@@ -530,6 +594,8 @@
             {} if known else self.caches,
             self._strays(),
             partial=count < self.holder.changes,
+            demand=self._demand() if self.sharing is not None else 0,
+            late_s=self.owner.placer.late_s if self.sharing is not None else 0.0,
         )
 
     def _strays(self) -> list[str]:
@@ -577,6 +643,9 @@
                 answer = await standby.answer(call.path.removeprefix("/peer/"), call.body)
                 if answer is not None:
                     return Answer(200, answer)
+            answer = await self._answer_sharing(call.path.removeprefix("/peer/"), call.body)
+            if answer is not None:
+                return Answer(200, answer)
             return Answer(200, self._dispatch(call.path.removeprefix("/peer/"), call.body))
         except (msgspec.ValidationError, orjson.JSONDecodeError, KeyError) as error:
             log.info("odd message {path}: {error}", path=call.path, error=error)
--- a/src/beamspar/control/session.py
+++ b/src/beamspar/control/session.py
@@ -203,6 +203,10 @@
         block = self.blocks.get(self.block_of.get(machine, ""))
         return (block.holder, block.number) if block else None
 
+    def end(self, why: str) -> None:
+        """Act no more: the registration is given up."""
+        self._lose_standing(why)
+
     def _lose_standing(self, why: str) -> None:
         if not self.lost:
             self.lost = True
--- a/src/beamspar/settings.py
+++ b/src/beamspar/settings.py
@@ -146,6 +146,8 @@
     headroom: float = 0.2
     # Followers of the leader's decisions, one of which takes over within seconds.
     standby: bool = False
+    # Blocks move by load, on request and when a controller leaves.
+    sharing: bool = False
 
 
 # Steady clocks of different machines may drift apart by this share (PROTOCOL).
--- /dev/null
+++ b/src/beamspar/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Machines shared among controllers: blocks move by load, on request, and as one leaves."""
--- /dev/null
+++ b/src/beamspar/sharing/messages.py
@@ -0,0 +1,122 @@
+"""What controllers, and the operators' command, say to each other about moves of blocks."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class PrepareRequest(msgspec.Struct, frozen=True):
+    """The leader is about to move these blocks (name: number): start nothing new there."""
+
+    member: str
+    blocks: dict[str, int]
+    # For how long; a holder that sees no move until then goes on as before.
+    for_s: float
+
+
+class PrepareReply(msgspec.Struct, frozen=True):
+    """The blocks on which no start order of the holder's is under way any more."""
+
+    ready: list[str]
+
+
+class MachineState(msgspec.Struct, frozen=True, array_like=True):
+    """What a former holder knew of one machine. Times are ages: clocks are not related.
+
+    It speeds things up; orders and reports are judged by number, lease and fresh reports as after
+    any other move.
+    """
+
+    machine: str
+    # The new holder's number, and the one that the sender had.
+    number: int
+    former_number: int
+    # Nobody before the sender can still answer this machine's worker.
+    sole: bool
+    # How long ago somebody entitled may have answered the worker last.
+    answered_ago_s: float
+    # The newest message of the worker, and its newest own report.
+    session: int
+    sequence: int
+    report_session: int
+    report_sequence: int
+    # Tasks of earlier sessions are proven to be gone.
+    min_session: int
+    silent_s: float
+    idle_s: float
+    # For how long it is still set aside for failures, and whether it is to be replaced.
+    set_aside_s: float
+    bad: bool
+    # It goes back to the cloud as soon as it is empty.
+    draining: bool
+    images: dict[str, float] = {}
+
+
+class ReleaseRequest(msgspec.Struct, frozen=True):
+    """A former holder has seen that these machines are another's, and acts on none of them."""
+
+    member: str
+    incarnation: int
+    machines: list[MachineState]
+
+
+class ReleaseReply(msgspec.Struct, frozen=True):
+    """What became of them; those that the receiver's mirror does not name yet are said again."""
+
+    accepted: list[str]
+    unknown_yet: list[str] = []
+
+
+class MoveRequest(msgspec.Struct, frozen=True):
+    """An operator wants a block to go to a controller."""
+
+    block: str
+    to: str
+
+
+class LeaveRequest(msgspec.Struct, frozen=True):
+    """An operator wants the receiver to hand everything over, or (undo) to serve on."""
+
+    undo: bool = False
+
+
+class CommandReply(msgspec.Struct, frozen=True):
+    """Whether a command was taken, and why not."""
+
+    done: bool
+    reason: str = ""
+
+
+class MemberShare(msgspec.Struct, frozen=True):
+    """One controller's share of the machines, as the leader sees it."""
+
+    member: str
+    machines: int
+    blocks: int
+    # Tasks that are bound or waiting, averaged; how late its timers fire.
+    demand: float
+    late_s: float
+    target: float
+    leaving: bool
+
+
+class MoveShown(msgspec.Struct, frozen=True):
+    """A move that is wanted, under way, or was made of late."""
+
+    block: str
+    source: str
+    target: str
+    reason: str
+    stage: str
+
+
+class SharesReply(msgspec.Struct, frozen=True):
+    """What `beamsparctl shares` shows of one controller."""
+
+    member: str
+    leader: str | None
+    leading: bool
+    # "serving", "leaving", or "left": the process may be stopped.
+    standing: str
+    shares: list[MemberShare] = []
+    moves: list[MoveShown] = []
--- /dev/null
+++ b/src/beamspar/sharing/planner.py
@@ -0,0 +1,181 @@
+"""Which blocks should move, from what each controller has to do; pure, without clock or calls.
+
+Shares follow demand within bounds, so that a controller without work of its own still carries its
+part of the reports. A block leaves its zone's controllers only when one of them leaves the service.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+# How far demand moves a share away from an even one.
+LEAST_SHARE, MOST_SHARE = 0.5, 1.5
+# How much of its share a controller loses whose timers fire late by a heartbeat or more.
+MOST_LATE = 0.5
+# What an imbalance must come to before a block moves: so much of the even share...
+CLEAR_IMBALANCE = 0.25
+# ...and so many times the block, for each move costs its machines a moment without new work.
+MOVE_COST = 3.0
+
+
+class Load(msgspec.Struct, frozen=True):
+    """What one controller has to do."""
+
+    member: str
+    zone: str = ""
+    # Tasks of its jobs that are bound or waiting.
+    demand: float = 0.0
+    # How late its timers fire, in heartbeats.
+    lateness: float = 0.0
+    leaving: bool = False
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """A block as the planner sees it."""
+
+    name: str
+    holder: str
+    zone: str
+    machines: int
+    # It moved a short while ago, or one of its machines drains: only a leave moves it.
+    resting: bool = False
+    # The return of one of its machines is under way: nothing moves it.
+    fixed: bool = False
+
+
+class Move(msgspec.Struct, frozen=True):
+    """A block that should go from one controller to another."""
+
+    block: str
+    source: str
+    target: str
+    reason: str
+    # It is made even if the source can't prepare: by the rules of a move without its help.
+    forced: bool = False
+
+
+def target_shares(loads: Sequence[Load], machines: int) -> dict[str, float]:
+    """How many of the machines each controller should hold."""
+    staying = [load for load in loads if not load.leaving]
+    if not staying:
+        return {}
+    total = sum(load.demand for load in staying)
+    weights = {}
+    for load in staying:
+        relative = load.demand * len(staying) / total if total > 0 else 1.0
+        weight = min(max(relative, LEAST_SHARE), MOST_SHARE)
+        weights[load.member] = weight * (1.0 - min(load.lateness, 1.0) * MOST_LATE)
+    scale = machines / sum(weights.values())
+    targets = {member: weight * scale for member, weight in weights.items()}
+    return targets | {load.member: 0.0 for load in loads if load.leaving}
+
+
+def plan(loads: Sequence[Load], holdings: Iterable[Holding], most: int) -> list[Move]:
+    """The next moves, at most so many: those off leaving controllers first, then those back to
+    a block's own zone, then those that even out shares by demand."""
+    blocks = sorted(holdings, key=lambda block: block.name)
+    known = {load.member for load in loads}
+    held = dict.fromkeys(known, 0)
+    for block in blocks:
+        if block.holder in held:
+            held[block.holder] += block.machines
+    targets = target_shares(loads, sum(held.values()))
+    planner = _Plan(loads, held, targets, most)
+    movable = [b for b in blocks if b.holder in known and b.machines and not b.fixed]
+    for block in movable:
+        if targets.get(block.holder) == 0.0:
+            planner.move_off(block)
+    for block in movable:
+        if not block.resting:
+            planner.move_home(block)
+    for block in movable:
+        if not block.resting:
+            planner.move_by_load(block)
+    return planner.moves
+
+
+class _Plan:
+    """The moves chosen so far, and what each controller would hold after them."""
+
+    def __init__(
+        self, loads: Sequence[Load], held: dict[str, int], targets: dict[str, float], most: int
+    ) -> None:
+        self.held = held
+        self.targets = targets
+        self.most = most
+        self.moves: list[Move] = []
+        self.moved: set[str] = set()
+        self.zones = {load.member: load.zone for load in loads}
+        self.staying = sorted(load.member for load in loads if not load.leaving)
+
+    def surplus(self, member: str) -> float:
+        """Machines that it holds beyond its share."""
+        return self.held[member] - self.targets[member]
+
+    def move_off(self, block: Holding) -> None:
+        """Its holder leaves: the block goes to its zone's controllers, else to anybody."""
+        target = self._neediest(self._candidates(block.zone))
+        if target is not None:
+            self._add(block, target, "leave", forced=True)
+
+    def move_home(self, block: Holding) -> None:
+        """A zone's machines belong to its controllers, which a cut leaves beside them."""
+        home = self._at_home(block.zone)
+        if home and block.holder not in home and block.holder in self.staying:
+            target = self._neediest(home)
+            if target is not None:
+                self._add(block, target, "zone")
+
+    def move_by_load(self, block: Holding) -> None:
+        """A block goes where it is needed more, if that is clear enough to be worth a move."""
+        group = self._candidates(block.zone)
+        target = self._neediest(group)
+        if block.holder not in group or target is None or target == block.holder:
+            return
+        even = sum(self.held.values()) / len(self.staying)
+        least = max(even * CLEAR_IMBALANCE, MOVE_COST * block.machines)
+        # What comes after the move must still be on the better side of the threshold.
+        if self.surplus(block.holder) - self.surplus(target) > least:
+            self._add(block, target, "load")
+
+    def _at_home(self, zone: str) -> list[str]:
+        return [member for member in self.staying if self.zones[member] == zone]
+
+    def _candidates(self, zone: str) -> list[str]:
+        return self._at_home(zone) or self.staying
+
+    def _neediest(self, members: list[str]) -> str | None:
+        return min(members, key=lambda member: (self.surplus(member), member), default=None)
+
+    def _add(self, block: Holding, target: str, reason: str, forced: bool = False) -> None:
+        if block.name in self.moved or len(self.moves) >= self.most:
+            return
+        self.moved.add(block.name)
+        self.held[block.holder] -= block.machines
+        self.held[target] += block.machines
+        self.moves.append(Move(block.name, block.holder, target, reason, forced))
+
+
+class DemandAverage:
+    """An average of each controller's demand that short bursts hardly move.
+
+    Shares followed the last heartbeat at first, and load that alternates between two controllers
+    made the same blocks go back and forth.
+    """
+
+    def __init__(self, span_s: float) -> None:
+        self.span_s = span_s
+        self._values: dict[str, tuple[float, float]] = {}
+
+    def take(self, member: str, demand: float, now: float) -> None:
+        """Take in what a heartbeat tells."""
+        before, at = self._values.get(member, (demand, now))
+        share = 1.0 - math.exp(-max(now - at, 0.0) / self.span_s)
+        self._values[member] = (before + (demand - before) * share, now)
+
+    def value(self, member: str) -> float:
+        """The average; 0 for a member that was never heard."""
+        return self._values.get(member, (0.0, 0.0))[0]
--- /dev/null
+++ b/src/beamspar/sharing/service.py
@@ -0,0 +1,226 @@
+"""Sharing of machines among controllers: wires planner, handover, transfer and leave together."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable, Collection
+
+from twisted.logger import Logger
+
+from beamspar.control.holder import Holder
+from beamspar.control.leader import Leader
+from beamspar.control.messages import decode, encode
+from beamspar.control.session import Session
+from beamspar.http import Clock, spawn
+from beamspar.settings import Timing
+from beamspar.sharing.handover import Handover, ask_to_prepare
+from beamspar.sharing.leave import LEAVES, LEFT, SERVING, Leave, leaving_members
+from beamspar.sharing.messages import (
+    CommandReply,
+    LeaveRequest,
+    MemberShare,
+    MoveRequest,
+    PrepareReply,
+    PrepareRequest,
+    ReleaseRequest,
+    SharesReply,
+)
+from beamspar.sharing.planner import DemandAverage, Holding, Load, Move, plan, target_shares
+from beamspar.sharing.transfer import Send, Transfer
+from beamspar.state import StateClient
+
+log = Logger(namespace="sharing")
+
+# Demand is averaged over so many workers' leases.
+AVERAGE_LEASES = 4
+# Moves that operators may have waiting.
+MOST_REQUESTED = 200
+
+
+class Sharing:
+    """One controller's part in sharing machines; lasts as long as its session."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        session: Session,
+        state: StateClient,
+        holder: Holder,
+        leader: Leader,
+        timing: Timing,
+        send: Send,
+        resign: Callable[[], Awaitable[None]],
+    ) -> None:
+        self.clock = clock
+        self.session = session
+        self.leader = leader
+        self.leasing = leader.leasing
+        self.timing = timing
+        self.send = send
+        self.transfer = Transfer(clock, session, holder, timing, send)
+        self.leave = Leave(clock, session, state, leader, timing, resign)
+        self.handover = Handover(
+            clock, session, self.leasing, timing, self._prepare, self._is_fixed
+        )
+        self.demand = DemandAverage(timing.worker_lease * AVERAGE_LEASES)
+        self.requested: dict[str, Move] = {}
+        self.stepping = False
+        self.leasing.balance = self.balance
+        self.leasing.excluded = self._excluded
+        leader.stands = lambda: not self.leave.is_leaving()
+
+    def tick(self) -> None:
+        """See to an own leave, one step at a time."""
+        if not self.stepping:
+            self.stepping = True
+            spawn(self._step(), "leaving")
+
+    async def _step(self) -> None:
+        try:
+            await self.leave.step()
+        finally:
+            self.stepping = False
+
+    # -- the leader's side
+
+    def _excluded(self) -> set[str]:
+        """Controllers that get no blocks while another one can take them."""
+        return leaving_members(self.session)
+
+    async def balance(self) -> None:
+        """Move what operators asked for, and what the planner finds."""
+        self.handover.forget_dropped()
+        most = max(self.leasing.blocks.limits.txn_ops // 4, 1)
+        holdings = self._holdings()
+        moves = self._due_requests()[:most]
+        asked = {move.block for move in moves}
+        others = [block for block in holdings if block.name not in asked]
+        moves += plan(self._loads(), others, most - len(moves))
+        if moves:
+            try:
+                await self.handover.carry_out(moves)
+            finally:
+                for move in moves:
+                    if self.requested.get(move.block) is move:
+                        del self.requested[move.block]
+
+    def _due_requests(self) -> list[Move]:
+        return [move for move in self.requested.values() if not self._drains(move.block)]
+
+    def _loads(self) -> list[Load]:
+        """What the controllers that can be reached have to do."""
+        now = self.clock.seconds()
+        leaving = leaving_members(self.session)
+        loads = []
+        for member in sorted(self.leasing.heard()):
+            view = self.leasing.members[member]
+            self.demand.take(member, view.demand, now)
+            if self.leasing.blind.get(member, 0.0) >= now:
+                # Its workers could not reach it a moment ago: it gets nothing yet.
+                continue
+            loads.append(
+                Load(
+                    member,
+                    self.leasing.sites.get(member, ""),
+                    self.demand.value(member),
+                    view.late_s / self.timing.heartbeat,
+                    member in leaving,
+                )
+            )
+        return loads
+
+    def _holdings(self) -> list[Holding]:
+        holdings = []
+        for name, block in self.session.blocks.items():
+            zone = block.machines[0].zone if block.machines else ""
+            resting = self.handover.rests(name) or self._drains(name)
+            fixed = self._is_fixed(name)
+            holdings.append(Holding(name, block.holder, zone, len(block.machines), resting, fixed))
+        return holdings
+
+    def _drains(self, block: str) -> bool:
+        """Is one of the block's machines told to take nothing more, for it is to go back?"""
+        return self._has_one_of(block, self.leader.retiring.keys())
+
+    def _is_fixed(self, block: str) -> bool:
+        """Is one of them being returned? Its new holder would give it work that is lost with it."""
+        fleet = self.leader.fleet
+        return self._has_one_of(block, fleet.due) or self._has_one_of(block, fleet.going)
+
+    def _has_one_of(self, name: str, machines: Collection[str]) -> bool:
+        block = self.session.blocks.get(name)
+        return bool(machines and block and any(m.name in machines for m in block.machines))
+
+    async def _prepare(self, source: str, request: PrepareRequest) -> PrepareReply:
+        if source == self.session.me:
+            return await self.transfer.prepare(request)
+        return await ask_to_prepare(self.send, source, request)
+
+    def request_move(self, request: MoveRequest) -> CommandReply:
+        """An operator's move, if it can be made; it is made with the next pass."""
+        block = self.session.blocks.get(request.block)
+        if not self.leader.ready:
+            return CommandReply(False, "this controller does not lead")
+        if block is None:
+            return CommandReply(False, f"no block {request.block}")
+        if request.to not in self.leasing.heard():
+            return CommandReply(False, f"no controller {request.to} that can be reached")
+        if request.to in leaving_members(self.session):
+            return CommandReply(False, f"{request.to} is leaving")
+        if request.to == block.holder:
+            return CommandReply(True, "it is there already")
+        if len(self.requested) >= MOST_REQUESTED:
+            return CommandReply(False, "too many moves are waiting")
+        self.requested[request.block] = Move(request.block, block.holder, request.to, "asked for")
+        return CommandReply(True)
+
+    # -- what is shown
+
+    def shares(self) -> SharesReply:
+        """What operators are shown; the leader's answer has the shares and moves."""
+        standing = LEAVES if self.leave.is_leaving() else SERVING
+        reply = SharesReply(self.session.me, self.session.leader, self.leader.ready, standing)
+        if not self.leader.ready:
+            return reply
+        loads = self._loads()
+        targets = target_shares(loads, len(self.session.block_of))
+        blocks = Counter(block.holder for block in self.session.blocks.values())
+        machines: Counter[str] = Counter()
+        for block in self.session.blocks.values():
+            machines[block.holder] += len(block.machines)
+        shares = [
+            MemberShare(
+                load.member,
+                machines[load.member],
+                blocks[load.member],
+                round(load.demand, 1),
+                round(load.lateness * self.timing.heartbeat, 3),
+                round(targets.get(load.member, 0.0), 1),
+                load.leaving,
+            )
+            for load in loads
+        ]
+        moves = self.handover.shown(self.requested.values())
+        return SharesReply(reply.member, reply.leader, reply.leading, standing, shares, moves)
+
+    async def answer(self, name: str, body: bytes) -> bytes | None:
+        """Answer a sibling's or an operator's message, if it is about sharing.
+
+        Raises ValidationError or JSONDecodeError for one that is malformed.
+        """
+        if name == "prepare":
+            return encode(await self.transfer.prepare(decode(body, PrepareRequest)))
+        if name == "release":
+            return encode(self.transfer.accept(decode(body, ReleaseRequest)))
+        if name == "move":
+            return encode(self.request_move(decode(body, MoveRequest)))
+        if name == "leave":
+            return encode(await self.leave.request(decode(body, LeaveRequest).undo))
+        if name == "shares":
+            return encode(self.shares())
+        return None
+
+
+def shares_of_one_that_left(member: str) -> SharesReply:
+    """What a controller shows that has left: its process may be stopped."""
+    return SharesReply(member, None, False, LEFT)
--- a/src/beamspar/standby/standby.py
+++ b/src/beamspar/standby/standby.py
@@ -224,7 +224,7 @@
         if rank:
             # Who is preferred goes first; the others only step in for it.
             await sleep(self.clock, self.timing.heartbeat * 2 * rank)
-        if not self._may_take_over():
+        if not self.leader.stands() or not self._may_take_over():
             return
         others = sorted(self.session.members - {me, leader})
         if not await self.detector.has_failed(leader, others):
--- a/src/beamspar/state.py
+++ b/src/beamspar/state.py
@@ -319,6 +319,13 @@
         if status != 200:
             raise StateUnavailableError(f"odd reply to an extension: {status}")
 
+    async def revoke(self, permit: int) -> None:
+        """End a lease; its keys go with it."""
+        await self._admit(URGENT, 0)
+        status, _ = await self._call("DELETE", f"/grants/{permit}", None, self.limit_s, True)
+        if status not in (200, 204, 404):
+            raise StateUnavailableError(f"odd reply to the end of a lease: {status}")
+
     async def watch(self, prefix: str, since: int, hold_s: float) -> tuple[list[Event], int]:
         """Changes below the prefix after a revision; empty when the time runs out."""
         await self._admit(URGENT, 0)
