--- /dev/null
+++ b/tests/reshuffle.py
@@ -0,0 +1,292 @@
+"""Reshuffles shares of a loopback deployment while controllers are killed and paused.
+
+    PYTHONPATH=src:. python -m tests.reshuffle --minutes 10 --report target/reshuffle
+
+Five controllers run as real processes under steady batch load. Every few seconds blocks are moved
+to random controllers; some are killed, paused or told to leave, often as moves are under way. Ends
+with one JSON object. With `--report`, writes the history as a columnar file (Parquet) and the
+distributions as a page with plots.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import statistics
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import orjson
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from beamspar.http import CallFailedError, sleep
+from beamspar.tcp import steady_reactor
+
+ZONES = ["east", "west", "south"]
+CONTROLLERS = 5
+# How long the deployment may take to decide at the start, and to come to rest at the end.
+START_S, REST_S = 60.0, 75.0
+
+
+class Spread(msgspec.Struct):
+    """A distribution, in seconds."""
+
+    count: int
+    median: float = 0.0
+    p90: float = 0.0
+    most: float = 0.0
+
+    @classmethod
+    def of(cls, values: list[float]) -> Spread:
+        """The distribution of these."""
+        if not values:
+            return cls(0)
+        ordered = sorted(values)
+        p90 = ordered[int(len(ordered) * 0.9)]
+        return cls(len(ordered), round(statistics.median(ordered), 4), round(p90, 4), ordered[-1])
+
+
+class Result(msgspec.Struct):
+    """What a run shows; rules and ownership are judged by the stand-ins' checkers."""
+
+    minutes: float
+    block_moves: int
+    kills: int
+    pauses: int
+    leaves: int
+    broken: list[str]
+    ownership_faults: list[str]
+    unfinished: list[str]
+    accepted: int
+    tasks_started_again: int
+    # From the record's write to the first contact under the new number, both sides left alone
+    # meanwhile, and all moves.
+    gap_undisturbed: Spread
+    gap_all: Spread
+    submit_quiet: Spread
+    submit_moving: Spread
+    block_writes: int
+    load_before: float
+    load_after: float
+
+
+class Reshuffler:
+    """Drives one run on a deployment."""
+
+    def __init__(self, world: Any, minutes: float, dice: random.Random, faults: bool) -> None:
+        self.world = world
+        self.minutes = minutes
+        self.dice = dice
+        self.faults = faults
+        self.jobs = 0
+        self.going = True
+        self.moving = False
+        self.counts = {"kill": 0, "pause": 0, "leave": 0}
+        # Until when a controller counts as disturbed.
+        self.disturbed_until = 0.0
+        self.latencies: dict[bool, list[float]] = {False: [], True: []}
+        # Each first contact: when, how long after the write, and whether anybody was disturbed.
+        self.contacts: list[tuple[float, float, bool]] = []
+
+    async def ask(self, member: str, path: str, message: Any) -> Any:
+        """A controller's answer to a message; None when there is none."""
+        try:
+            answer = await self.world.network.request(
+                "tool", "POST", f"{member}:81", f"/peer/{path}", orjson.dumps(message), 2.0
+            )
+        except CallFailedError:
+            return None
+        return orjson.loads(answer.body) if answer.status == 200 else None
+
+    def submit(self) -> None:
+        """Steady batch load: arrays of short and of longer tasks, and a few services."""
+        if not self.going:
+            return
+        job = f"j-{self.jobs}"
+        self.jobs += 1
+        shape = "standing" if self.jobs % 15 == 0 else "sweep"
+        run_s = self.dice.choice([1.0, 5.0, 20.0])
+        self.world.submit(job, shape=shape, parcels=self.dice.randint(1, 4), run_s=run_s)
+        if shape == "standing":
+            self.world.clock.callLater(self.dice.uniform(5.0, 60.0), self.world.withdraw, job)
+        since, moving = self.world.clock.seconds(), self.moving
+        self.world.clock.callLater(0.02, self._accepted, job, since, moving)
+        self.world.clock.callLater(self.dice.uniform(0.2, 0.8), self.submit)
+
+    def _accepted(self, job: str, since: float, moving: bool) -> None:
+        at = self.world.checker.accepted.get(job)
+        if at is not None:
+            self.latencies[moving].append(at - since)
+        elif self.world.clock.seconds() - since < 60.0:
+            self.world.clock.callLater(0.02, self._accepted, job, since, moving)
+
+    def _contact(self, gap: float) -> None:
+        now = self.world.clock.seconds()
+        self.contacts.append((now, gap, now - gap < self.disturbed_until))
+
+    async def reshuffle(self) -> None:
+        """Move some blocks to random controllers."""
+        blocks = sorted(k[8:] for k in self.world.state.items if k.startswith("c/block/"))
+        leader = self.world.leader()
+        for block in self.dice.sample(blocks, min(len(blocks), 4)):
+            await self.ask(
+                leader, "move", {"block": block, "to": self.dice.choice(self.world.names)}
+            )
+
+    def disturb(self) -> None:
+        """Kill or pause one or two controllers, or let one leave and come back."""
+        alive = [n for n in self.world.names if n in self.world.network.alive]
+        kind = self.dice.choice(["kill", "kill", "pause", "leave"])
+        self.counts[kind] += 1
+        self.disturbed_until = self.world.clock.seconds() + 25.0
+        if kind == "kill" and len(alive) > 3:
+            for name in self.dice.sample(alive, self.dice.choice([1, 1, 2])):
+                self.world.crash(name, self.dice.choice([0.5, 3.0, 8.0]))
+        elif kind == "pause":
+            name = self.dice.choice(alive)
+            self.world.hold(name, True)
+            # The same process, for a killed one is started anew.
+            process = self.world.processes[name]
+            for_s = self.dice.choice([0.5, 3.0, 20.0])
+            self.world.clock.callLater(for_s, self.world.wake, process)
+        elif kind == "leave":
+            name = self.dice.choice(alive)
+            ensureDeferred(self.ask(name, "leave", {}))
+            undo = {"undo": True}
+            self.world.clock.callLater(
+                self.dice.choice([1.0, 15.0]), lambda: ensureDeferred(self.ask(name, "leave", undo))
+            )
+
+    async def run(self) -> Result:
+        """The whole run: quiet, then reshuffles and faults, then rest, then judgement."""
+        world, clock = self.world, self.world.clock
+        load_before = os.getloadavg()[0]
+        gaps = world.ownership.gaps
+        while not (await self.ask(world.leader(), "shares", {}) or {}).get("leading"):
+            if clock.seconds() > START_S:
+                raise TimeoutError("nobody decides")
+            await sleep(clock, 0.2)
+        self.submit()
+        await sleep(clock, min(20.0, self.minutes * 15))
+        moves, writes = world.ownership.moves, len(world.state.history)
+        self.moving, seen = True, len(gaps)
+        until, next_fault = clock.seconds() + self.minutes * 60, clock.seconds() + 5.0
+        while clock.seconds() < until:
+            await self.reshuffle()
+            if self.faults and clock.seconds() > next_fault:
+                # Often in the middle of the moves that were just asked for.
+                await sleep(clock, self.dice.uniform(0.0, 0.6))
+                self.disturb()
+                next_fault = clock.seconds() + self.dice.uniform(8.0, 25.0)
+            await sleep(clock, self.dice.uniform(1.5, 3.5))
+            for gap in gaps[seen:]:
+                self._contact(gap)
+            seen = len(gaps)
+        self.going = self.moving = False
+        written = [e.get("put") or e["drop"] for _, e in world.state.history[writes:]]
+        await sleep(clock, 25.0)
+        for name in world.names:
+            await self.ask(name, "leave", {"undo": True})
+        await sleep(clock, REST_S)
+        jobs = world.checker.jobs
+        unfinished = [
+            job
+            for job in world.checker.accepted
+            if jobs[job]["shape"] == "sweep" and world.status(job) != "done"
+        ]
+        again = [
+            world.checker.starts.get(job, 0) - jobs[job]["parcels"]
+            for job in world.checker.accepted
+            if jobs[job]["shape"] == "sweep"
+        ]
+        undisturbed = [gap for _, gap, disturbed in self.contacts if not disturbed]
+        return Result(
+            self.minutes,
+            world.ownership.moves - moves,
+            **{f"{kind}s": count for kind, count in self.counts.items()},
+            broken=list(world.checker.broken),
+            ownership_faults=list(world.ownership.faults),
+            unfinished=unfinished,
+            accepted=len(world.checker.accepted),
+            tasks_started_again=sum(max(count, 0) for count in again),
+            gap_undisturbed=Spread.of(undisturbed),
+            gap_all=Spread.of([gap for _, gap, _ in self.contacts]),
+            submit_quiet=Spread.of(self.latencies[False]),
+            submit_moving=Spread.of(self.latencies[True]),
+            block_writes=sum(1 for key in written if key.startswith("c/block/")),
+            load_before=load_before,
+            load_after=os.getloadavg()[0],
+        )
+
+
+def write_report(result: Result, contacts: list[tuple[float, float, bool]], folder: Path) -> None:
+    """The history of first contacts as a columnar file, the distributions as a page with a plot."""
+    import pyarrow
+    import pygal
+    from hdrh.histogram import HdrHistogram
+    from pyarrow import parquet
+
+    folder.mkdir(parents=True, exist_ok=True)
+    names = ["at_s", "gap_s", "disturbed"]
+    columns = list(zip(*contacts, strict=True)) or [(), (), ()]
+    table = pyarrow.table(dict(zip(names, map(list, columns), strict=True)))
+    parquet.write_table(table, folder / "contacts.parquet")
+    histogram = HdrHistogram(1, 600_000, 3)
+    for _, gap, _ in contacts:
+        histogram.record_value(max(int(gap * 1000), 1))
+    shares = [10, 25, 50, 75, 90, 99, 100]
+    chart = pygal.Line(title="Record's write to the first contact of the new holder (ms)")
+    chart.x_labels = [f"{share} %" for share in shares]
+    chart.add("milliseconds", [histogram.get_value_at_percentile(share) for share in shares])
+    plain = orjson.dumps(msgspec.to_builtins(result), option=orjson.OPT_INDENT_2)
+    (folder / "result.json").write_bytes(plain)
+    (folder / "index.html").write_text(
+        f"<!doctype html><title>Reshuffles</title><h1>{result.block_moves} moves</h1>"
+        f"<pre>{plain.decode()}</pre>"
+        f"{chart.render(is_unicode=True, disable_xml_declaration=True)}"
+    )
+
+
+@click.command()
+@click.option("--minutes", default=10.0, show_default=True, type=click.FloatRange(0.1, 60.0))
+@click.option("--seed", default=1, show_default=True, type=int)
+@click.option("--faults/--no-faults", default=True, show_default=True)
+@click.option("--report", default=None, type=click.Path(path_type=Path))
+def main(minutes: float, seed: int, faults: bool, report: Path | None) -> None:
+    """Reshuffle shares under load and faults."""
+    reactor: Any = steady_reactor()
+    from tests.standins.loopback import LoopbackWorld, deploy_line
+
+    world = LoopbackWorld(
+        reactor,
+        seed,
+        deploy_line("sharing.toml"),
+        nodes=CONTROLLERS,
+        workers={"lease_s": 17.0, "cancel_s": 47.0},
+        state={"rps": 150.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 24},
+        capacity=[{"kind": "small", "zone": zone, "count": 8} for zone in ZONES],
+        machines=[{"kind": "small", "zone": zone, "count": 8} for zone in ZONES],
+    )
+    reshuffler = Reshuffler(world, minutes, random.Random(seed), faults)
+    results: list[Result] = []
+    failures: list[str] = []
+    done: Deferred[Result] = ensureDeferred(reshuffler.run())
+    done.addCallbacks(results.append, lambda failure: failures.append(failure.getTraceback()))
+    done.addBoth(lambda _: reactor.stop())
+    try:
+        reactor.run()
+    finally:
+        world.stop()
+    if not results:
+        click.echo("\n".join(failures) or "ended early", err=True)
+        sys.exit(1)
+    if report is not None:
+        write_report(results[0], reshuffler.contacts, report)
+    click.echo(orjson.dumps(msgspec.to_builtins(results[0])).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -186,6 +186,11 @@
         """Stop the process in its tracks, or let it go on."""
         self.processes[name].send_signal(signal.SIGSTOP if on else signal.SIGCONT)
 
+    def wake(self, process: subprocess.Popen[bytes]) -> None:
+        """Let a process go on that was stopped, if it is still there."""
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
     def stop(self) -> None:
         """End all controllers."""
         for process in self.processes.values():
