--- a/tests/kill_leader.py
+++ b/tests/kill_leader.py
@@ -62,6 +62,16 @@
     commands: list[CommandRun]
 
 
+async def run_command(world: Any, *words: str) -> CommandRun:
+    """Run the operators' command beside the deployment, which goes on meanwhile."""
+    config = str(world.settings_file(world.names[0]))
+    line = [sys.executable, "beamsparctl.py", "--config", config, *words]
+    done = await deferToThread(
+        subprocess.run, line, cwd=ROOT, capture_output=True, text=True, timeout=30
+    )
+    return CommandRun(list(words), done.returncode, done.stdout + done.stderr)
+
+
 class Killer:
     """Drives one run on a deployment."""
 
@@ -140,13 +150,8 @@
             await sleep(self.world.clock, 0.2)
 
     async def command(self, *words: str) -> CommandRun:
-        """Run the operators' command beside the deployment, which goes on meanwhile."""
-        config = str(self.world.settings_file(self.world.names[0]))
-        line = [sys.executable, "beamsparctl.py", "--config", config, *words]
-        done = await deferToThread(
-            subprocess.run, line, cwd=ROOT, capture_output=True, text=True, timeout=30
-        )
-        return CommandRun(list(words), done.returncode, done.stdout + done.stderr)
+        """Run the operators' command beside the deployment."""
+        return await run_command(self.world, *words)
 
     async def hand_over(self) -> CommandRun:
         """Hand the lead over; on a busy machine no follower may be complete at first."""
--- a/tests/reshuffle.py
+++ b/tests/reshuffle.py
@@ -24,6 +24,7 @@
 
 from beamspar.http import CallFailedError, sleep
 from beamspar.tcp import steady_reactor
+from tests.kill_leader import CommandRun, run_command
 
 ZONES = ["east", "west", "south"]
 CONTROLLERS = 5
@@ -71,6 +72,7 @@
     block_writes: int
     load_before: float
     load_after: float
+    commands: list[CommandRun]
 
 
 class Reshuffler:
@@ -169,6 +171,12 @@
             if clock.seconds() > START_S:
                 raise TimeoutError("nobody decides")
             await sleep(clock, 0.2)
+        commands = [
+            await run_command(world, "shares"),
+            await run_command(world, "move", "nothing", "--to", "rig-0"),
+            await run_command(world, "leave", "rig-9"),
+            await run_command(world, "move", "nothing"),
+        ]
         self.submit()
         await sleep(clock, min(20.0, self.minutes * 15))
         moves, writes = world.ownership.moves, len(world.state.history)
@@ -219,6 +227,7 @@
             block_writes=sum(1 for key in written if key.startswith("c/block/")),
             load_before=load_before,
             load_after=os.getloadavg()[0],
+            commands=commands,
         )
 
 
--- /dev/null
+++ b/tests/test_reshuffle.py
@@ -0,0 +1,39 @@
+"""Real processes on loopback: shares are reshuffled while controllers are killed, paused and leave.
+
+Judged by rules and ownership only, for how long things take depends on the machine. The measurement
+is `python -m tests.reshuffle --minutes 10 --report target/reshuffle`.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import msgspec
+import orjson
+
+from tests.reshuffle import Result
+from tests.test_program import ROOT, build
+
+
+def test_reshuffles_on_real_processes_break_no_rule_and_lose_no_job() -> None:
+    build()
+    done = subprocess.run(
+        [sys.executable, "-m", "tests.reshuffle", "--minutes", "0.6", "--seed", "7"],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
+        capture_output=True,
+        text=True,
+        timeout=400,
+    )
+    assert done.returncode == 0, done.stderr[-4000:]
+    result = msgspec.convert(orjson.loads(done.stdout.splitlines()[-1]), Result)
+    assert result.broken == [] and result.ownership_faults == []
+    assert result.unfinished == [] and result.accepted > 20
+    assert result.block_moves > 5
+    shares, refused, unknown, bad = result.commands
+    assert shares.status == 0 and len(shares.printed.splitlines()) >= 5, shares
+    assert refused.status == 1 and "no block nothing" in refused.printed, refused
+    assert unknown.status == 1 and unknown.printed == "no controller rig-9\n", unknown
+    assert bad.status == 2, bad
