Room and summaries of held machines have a module of their own

Change: MachineSummaries takes over what machines have room for and what heartbeats tell; moves and names only.

--- a/src/beamspar/control/holder.py
+++ b/src/beamspar/control/holder.py
@@ -14,6 +14,7 @@
 
 from beamspar.control.fault_evidence import FaultEvidence
 from beamspar.control.held_machine import HeldMachine, Key, Start
+from beamspar.control.machine_summaries import MachineSummaries
 from beamspar.control.messages import (
     CLEAR,
     ENDED,
@@ -74,7 +75,7 @@
         self.faults = FaultEvidence(timing)
         # An order that only lacked the worker's session is repeated at once, not after a pause.
         self.repeats_at_once = False
-        self.changes = 0
+        self.summaries = MachineSummaries(clock, timing, types)
         # The cache map as the leader passes it on: reports don't list what is cached, so
         # a new holder would think its machines cold.
         self.caches: dict[str, dict[str, float]] = {}
@@ -399,28 +400,8 @@
 
     # -- orders
 
-    def _usable(self, machine: HeldMachine) -> bool:
-        return (
-            machine.fresh
-            and not machine.lost
-            and machine.notice_s is None
-            and not machine.retiring
-            and machine.paused_until <= self.clock.seconds()
-            and machine.sick_until <= self.clock.seconds()
-            # Nor is one that hears no orders, or whose lease runs out for want of reports.
-            and machine.failed_orders < 2
-            and self.clock.seconds() - machine.reported_at < self.timing.silent
-        )
-
-    def _free(self, machine: HeldMachine, but: Key | None = None) -> tuple[float, float, float]:
-        kind = self.types().get(machine.info.kind)
-        if kind is None:
-            return 0.0, 0.0, 0.0
-        cpus, gpus, memory = machine.taken(but)
-        return kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory
-
     def _fits(self, machine: HeldMachine, key: Key, want: Want) -> bool:
-        cpus, gpus, memory = self._free(machine, key)
+        cpus, gpus, memory = self.summaries.free(machine, key)
         return (
             want.cpus <= cpus + 1e-6
             and want.gpus <= gpus + 1e-6
@@ -429,7 +410,7 @@
 
     def _evict(self, machine: HeldMachine, key: Key, want: Want) -> bool:
         """Choose lower work to stop for this want; whether that will make room."""
-        cpus, gpus, memory = self._free(machine, key)
+        cpus, gpus, memory = self.summaries.free(machine, key)
         victims = sorted(
             (
                 (k, w)
@@ -516,12 +497,14 @@
                 # It was there, and a newer report does not list it.
                 self._mark_over(machine, key, GONE)
             elif want.action == HOLD:
-                if not self._usable(machine) or not (want.evict or self._fits(machine, key, want)):
+                if not self.summaries.usable(machine) or not (
+                    want.evict or self._fits(machine, key, want)
+                ):
                     self._mark_over(machine, key, REFUSED)
             elif want.action == RUN and not withdrawn:
                 if start is not None:
                     commands.append(order_start(*key))
-                elif not self._usable(machine):
+                elif not self.summaries.usable(machine):
                     self._mark_over(machine, key, REFUSED)
                 elif self._fits(machine, key, want):
                     commands.append(order_start(*key))
@@ -739,94 +722,14 @@
 
     # -- summaries
 
-    def _room(self, machine: HeldMachine) -> Room:
-        """The machine's room, counted anew only when something there has changed."""
-        if machine.room is None or machine.info.kind not in self.types():
-            cpus, gpus, memory = self._free(machine)
-            lower = [[0.0, 0.0, 0.0] for _ in range(4)]
-            # What no owner speaks for yet keeps the machine from being idle, too.
-            tasks = sum(
-                1
-                for k, t in machine.tasks.items()
-                if k not in machine.wants and t.status != "ended"
-            )
-            for key, want in machine.wants.items():
-                if not machine.live(key):
-                    continue
-                tasks += 1
-                for rank in range(min(want.rank, 4)) if key not in machine.evicted else ():
-                    lower[rank][0] += want.cpus
-                    lower[rank][1] += want.gpus
-                    lower[rank][2] += want.memory_gb
-            info = machine.info
-            machine.room = Room(
-                info.name,
-                info.kind,
-                info.zone,
-                info.spot,
-                cpus,
-                gpus,
-                memory,
-                dict(machine.images),
-                [(low[0], low[1], low[2]) for low in lower],
-                tasks=tasks,
-                fetching=len(
-                    {
-                        want.image
-                        for key, want in machine.wants.items()
-                        if machine.live(key) and machine.unfetched(key, want)
-                    }
-                ),
-            )
-            self.changes += 1
-            machine.changed = self.changes
-        usable = self._usable(machine)
-        if machine.room.usable != usable:
-            machine.room.usable = usable
-            self.changes += 1
-            machine.changed = self.changes
-        return machine.room
+    @property
+    def changes(self) -> int:
+        """How many changes of machines were counted so far."""
+        return self.summaries.changes
 
     def views(self, since: int = 0, most: int = VIEWS_AT_ONCE) -> tuple[list[View], int]:
-        """What has changed after that count of changes, silent machines always; and the count
-        up to which this tells: of more changes than fit into one message, the earlier ones."""
-        now = self.clock.seconds()
-        changed: list[HeldMachine] = []
-        silent: list[HeldMachine] = []
-        for machine in self.machines.values():
-            # Counted anew where something changed, which moves `machine.changed`.
-            self._room(machine)
-            if machine.changed > since:
-                changed.append(machine)
-                continue
-            is_silent = now - machine.reported_at > self.timing.silent / 2
-            if is_silent or machine.was_silent:
-                silent.append(machine)
-        count = self.changes
-        if len(changed) > most:
-            changed.sort(key=lambda machine: machine.changed)
-            del changed[most:]
-            count = changed[-1].changed
-        silent.sort(key=lambda machine: machine.reported_at)
-        told = changed + silent[: max(most - len(changed), 0)]
-        return [self._view(machine, now) for machine in told], count
-
-    def _view(self, machine: HeldMachine, now: float) -> View:
-        silent_s = now - machine.reported_at
-        # Told while it lasts, and once more when it is over.
-        machine.was_silent = silent_s > self.timing.silent / 2
-        return View(
-            self._room(machine),
-            machine.number,
-            machine.fresh,
-            machine.lost,
-            machine.sick_until > now,
-            machine.bad,
-            machine.notice_s is not None,
-            machine.retiring,
-            silent_s,
-            now - machine.idle_since,
-        )
+        """What has changed of our machines after that count of changes."""
+        return self.summaries.views(self.machines.values(), since, most)
 
     def retire(self, names: list[str]) -> None:
         """The leader's list replaces the one before; who is on it no longer serves again."""
@@ -839,4 +742,4 @@
         """Copies for the owner in this process to reckon with."""
         if not self.session.valid():
             return []
-        return [copy(self._room(machine)) for machine in self.machines.values()]
+        return [copy(self.summaries.room(machine)) for machine in self.machines.values()]
--- /dev/null
+++ b/src/beamspar/control/machine_summaries.py
@@ -0,0 +1,137 @@
+"""What a holder's machines have room for, and what its heartbeats tell the leader of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from beamspar.control.held_machine import HeldMachine, Key
+from beamspar.control.messages import View
+from beamspar.http import Clock
+from beamspar.placement import Room
+from beamspar.settings import Timing
+from beamspar.wire import MachineType
+
+
+class MachineSummaries:
+    """Owns the count of changes by which heartbeats tell only what is new."""
+
+    def __init__(
+        self, clock: Clock, timing: Timing, types: Callable[[], dict[str, MachineType]]
+    ) -> None:
+        self.clock = clock
+        self.timing = timing
+        self.types = types
+        self.changes = 0
+
+    def usable(self, machine: HeldMachine) -> bool:
+        """May new work be started there now?"""
+        return (
+            machine.fresh
+            and not machine.lost
+            and machine.notice_s is None
+            and not machine.retiring
+            and machine.paused_until <= self.clock.seconds()
+            and machine.sick_until <= self.clock.seconds()
+            # Nor is one that hears no orders, or whose lease runs out for want of reports.
+            and machine.failed_orders < 2
+            and self.clock.seconds() - machine.reported_at < self.timing.silent
+        )
+
+    def free(self, machine: HeldMachine, but: Key | None = None) -> tuple[float, float, float]:
+        """CPUs, accelerators and memory that no live want takes, one of them left out."""
+        kind = self.types().get(machine.info.kind)
+        if kind is None:
+            return 0.0, 0.0, 0.0
+        cpus, gpus, memory = machine.taken(but)
+        return kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory
+
+    def room(self, machine: HeldMachine) -> Room:
+        """The machine's room, counted anew only when something there has changed."""
+        if machine.room is None or machine.info.kind not in self.types():
+            cpus, gpus, memory = self.free(machine)
+            lower = [[0.0, 0.0, 0.0] for _ in range(4)]
+            # What no owner speaks for yet keeps the machine from being idle, too.
+            tasks = sum(
+                1
+                for k, t in machine.tasks.items()
+                if k not in machine.wants and t.status != "ended"
+            )
+            for key, want in machine.wants.items():
+                if not machine.live(key):
+                    continue
+                tasks += 1
+                for rank in range(min(want.rank, 4)) if key not in machine.evicted else ():
+                    lower[rank][0] += want.cpus
+                    lower[rank][1] += want.gpus
+                    lower[rank][2] += want.memory_gb
+            info = machine.info
+            machine.room = Room(
+                info.name,
+                info.kind,
+                info.zone,
+                info.spot,
+                cpus,
+                gpus,
+                memory,
+                dict(machine.images),
+                [(low[0], low[1], low[2]) for low in lower],
+                tasks=tasks,
+                fetching=len(
+                    {
+                        want.image
+                        for key, want in machine.wants.items()
+                        if machine.live(key) and machine.unfetched(key, want)
+                    }
+                ),
+            )
+            self.changes += 1
+            machine.changed = self.changes
+        usable = self.usable(machine)
+        if machine.room.usable != usable:
+            machine.room.usable = usable
+            self.changes += 1
+            machine.changed = self.changes
+        return machine.room
+
+    def views(
+        self, machines: Iterable[HeldMachine], since: int, most: int
+    ) -> tuple[list[View], int]:
+        """What has changed after that count of changes, silent machines always; and the count
+        up to which this tells: of more changes than fit into one message, the earlier ones."""
+        now = self.clock.seconds()
+        changed: list[HeldMachine] = []
+        silent: list[HeldMachine] = []
+        for machine in machines:
+            # Counted anew where something changed, which moves `machine.changed`.
+            self.room(machine)
+            if machine.changed > since:
+                changed.append(machine)
+                continue
+            is_silent = now - machine.reported_at > self.timing.silent / 2
+            if is_silent or machine.was_silent:
+                silent.append(machine)
+        count = self.changes
+        if len(changed) > most:
+            changed.sort(key=lambda machine: machine.changed)
+            del changed[most:]
+            count = changed[-1].changed
+        silent.sort(key=lambda machine: machine.reported_at)
+        told = changed + silent[: max(most - len(changed), 0)]
+        return [self._view(machine, now) for machine in told], count
+
+    def _view(self, machine: HeldMachine, now: float) -> View:
+        silent_s = now - machine.reported_at
+        # Told while it lasts, and once more when it is over.
+        machine.was_silent = silent_s > self.timing.silent / 2
+        return View(
+            self.room(machine),
+            machine.number,
+            machine.fresh,
+            machine.lost,
+            machine.sick_until > now,
+            machine.bad,
+            machine.notice_s is not None,
+            machine.retiring,
+            silent_s,
+            now - machine.idle_since,
+        )
--- a/tests/standins/sharing.py
+++ b/tests/standins/sharing.py
@@ -118,6 +118,6 @@
                 continue
             holder = self.nodes[holders[0]].holder if len(holders) == 1 else None
             held = holder.machines.get(name) if holder else None
-            if held is None or not holder._usable(held):
+            if held is None or not holder.summaries.usable(held):
                 found[name] = f"held by {holders}"
         return found
