One driver for both loopback tools; machines, jobs and limits in trouble as blocks move

Need: two tools and their tests had the same lines; meetings of moves with machine troubles were not played. Change: drive and run_tool serve both; tests/test_moving_machines.py.

--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -12,10 +12,12 @@
 import sys
 import tempfile
 import tomllib
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
-from twisted.internet.defer import Deferred
+import click
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from beamspar.http import Answer, Handler, Sockets
 from beamspar.http_server import Site
@@ -202,3 +204,20 @@
     """The line that runs the service, as a file below `deploy/` has it."""
     deploy = tomllib.loads((ROOT / "deploy" / file).read_text())
     return [sys.executable, *deploy["run"].split()[1:]]
+
+
+def drive(reactor: Any, world: LoopbackWorld, work: Coroutine[Any, Any, Any]) -> Any:
+    """Run a tool's work on the deployment and end that; its result, or exit with status 1."""
+    results: list[Any] = []
+    failures: list[str] = []
+    done: Deferred[Any] = ensureDeferred(work)
+    done.addCallbacks(results.append, lambda failure: failures.append(failure.getTraceback()))
+    done.addBoth(lambda _: reactor.stop())
+    try:
+        reactor.run()
+    finally:
+        world.stop()
+    if not results:
+        click.echo("\n".join(failures) or "ended early", err=True)
+        sys.exit(1)
+    return results[0]
--- /dev/null
+++ b/tests/test_moving_machines.py
@@ -0,0 +1,133 @@
+"""Machines, jobs and limits in trouble at the moment at which a block moves."""
+
+from __future__ import annotations
+
+import os
+import random
+from collections.abc import Callable
+
+import pytest
+
+from tests.standins.sharing import SharingWorld
+from tests.test_random import load
+
+Trouble = Callable[[SharingWorld, list[str], str, str], None]
+LATER_S = 24.0
+
+
+def hang(for_s: float) -> Trouble:
+    def begin(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+        for name in machines:
+            world.cloud.workers[name].hung = True
+            world.clock.callLater(for_s, setattr, world.cloud.workers[name], "hung", False)
+
+    return begin
+
+
+def deaf(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    """Reports arrive, nothing reaches the machines."""
+    for node in world.names:
+        for name in machines:
+            world.network.cut(node, name, "drop", both=False)
+            world.clock.callLater(LATER_S, world.network.heal, node, name)
+
+
+def mute(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    for name in machines:
+        world.mute(name)
+    world.clock.callLater(LATER_S, world.network.barred.clear)
+
+
+def old_reports(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    """Copies of all that the machines ever reported arrive on either side."""
+    for name in machines:
+        for number, body in enumerate(world.cloud.workers[name].copies):
+            for node in (source, target):
+                world.clock.callLater(0.01 * number, world.call, node, "POST", "/v1/report", body)
+
+
+def held_orders(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    """What the source orders from now on reaches the machines after the move."""
+    for name in machines:
+        world.network.cut(source, name, "hold", both=False)
+        world.clock.callLater(6.0, world.network.heal, source, name)
+
+
+def zone_cut(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    """The source's zone is cut off, with its controllers and machines."""
+    zone = world.settings[source].site
+    inside = [name for name in world.names if world.settings[name].site == zone]
+    inside += [name for name, worker in world.cloud.workers.items() if worker.zone == zone]
+    outside = {*world.names, *world.cloud.workers, "state", "cloud"} - set(inside)
+    for one in inside:
+        for other in outside:
+            world.network.cut(one, other, "hold")
+            world.clock.callLater(LATER_S, world.network.heal, one, other)
+
+
+def cancel(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    """Users call off what runs there, and then both holders end."""
+    jobs = {
+        task.partition("/")[0]
+        for task, places in world.checker.on.items()
+        if any(machine in machines for machine, _ in places)
+    }
+    assert jobs
+    world.cancel_now(sorted(jobs - world.checker.told.keys()))
+    for name in (source, target):
+        world.clock.callLater(0.5, world.crash, name, 40.0)
+
+
+def lower_limits(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    """The state service gets the smaller limits that were announced."""
+    world.state.lower(world.raw_settings[source]["facts"]["state"]["next"])
+
+
+def end_both(world: SharingWorld, machines: list[str], source: str, target: str) -> None:
+    for name in (source, target):
+        world.crash(name, 5.0)
+
+
+TROUBLES = {
+    "hang": hang(6.0),
+    "hang beyond the lease": hang(30.0),
+    "deaf": deaf,
+    "mute": mute,
+    "old reports": old_reports,
+    "held orders": held_orders,
+    "zone cut": zone_cut,
+    "cancelled, both end": cancel,
+    "smaller limits": lower_limits,
+    "both end": end_both,
+}
+MOMENTS = ["prepare", "commit", "release"]
+# Each trouble at one of the moments unless all are asked for.
+CASES = [
+    (trouble, moment)
+    for number, trouble in enumerate(TROUBLES)
+    for moment in (MOMENTS if os.environ.get("BEAMSPAR_ALL_MOVES") else [MOMENTS[number % 3]])
+]
+
+
+@pytest.mark.parametrize(("trouble", "moment"), CASES)
+def test_a_move_in_the_middle_of_trouble(trouble: str, moment: str) -> None:
+    """Services, arrays and gangs of two teams at their limits; the checkers judge."""
+    dice = random.Random(9)
+    world = SharingWorld(
+        9,
+        teams=[{"name": "red", "cpus_max": 20.0}, {"name": "blue", "cpus_max": 16.0}],
+        state={"next": {"value_kb": 1.0, "txn_ops": 4, "write_rps": 30.0}},
+        tuning={"block_size": 3},
+    )
+    for number in range(30):
+        world.clock.callLater(4 + number, load, world, dice, number)
+    world.run(22)
+    block, source, target = world.choose_move()
+    machines = [machine["name"] for machine in world.blocks()[block]["machines"]]
+    world.hooks[moment] = lambda: TROUBLES[trouble](world, machines, source, target)
+    world.tell(world.leader(), "move", {"block": block, "to": target})
+    world.run(110)
+    assert not world.hooks, "the moment never came"
+    assert world.checker.broken == [] and world.ownership.faults == []
+    assert world.unserved() == {} and world.state.oversized == []
+    assert world.checker.done and world.gangs.attempts
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import shutil
 import socket
 import subprocess
@@ -10,7 +11,9 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
+from typing import Any
 
+import orjson
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -58,6 +61,21 @@
     subprocess.run(["bash", "-c", deploy["build"]], cwd=ROOT, check=True)
 
 
+def run_tool(module: str, *options: str) -> Any:
+    """Run a tool of the tests on the built program; the object that it prints last."""
+    build()
+    done = subprocess.run(
+        [sys.executable, "-m", module, *options],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
+        capture_output=True,
+        text=True,
+        timeout=400,
+    )
+    assert done.returncode == 0, done.stderr[-4000:]
+    return orjson.loads(done.stdout.splitlines()[-1])
+
+
 @pytest.fixture(scope="module", autouse=True)
 def built() -> None:
     build()
