--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -215,7 +215,7 @@
         world.run(world.clock.seconds() + 3)
     taken = [world.nodes[name].sharing.transfer.taken_over for name in (source, target)]
     assert len(sent) >= 3 and taken[0] >= 2 and taken[1] >= 4
-    for body in sent:
+    for body in list(sent):
         for member in (source, target):
             world.tell(member, "release", None, body)
     world.run(world.clock.seconds() + 2)
