Tests for the guards of releases and returns that none had caught

Need: five guards broken by hand failed no test. Change: a release counts from the former holder of that number only; a block stays while one of its machines is being returned, and rests while one drains.

--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from beamspar.sharing.messages import MachineState
+from beamspar.sharing.messages import MachineState, MoveRequest, ReleaseReply, ReleaseRequest
 from tests.standins.sharing import SharingWorld
 from tests.test_handover import check_whole
 from tests.test_random import fault
@@ -222,3 +222,79 @@
     assert [world.nodes[n].sharing.transfer.taken_over for n in (source, target)] == taken
     world.run(95)
     check_whole(world)
+
+
+def test_a_release_counts_from_the_former_holder_of_that_number_only() -> None:
+    """Everything else is refused; one that is ahead of our mirror is to be said again."""
+    world = running()
+    block, source, target = world.choose_move()
+    world.network.cut(source, target, "drop", both=False)
+    world.tell(world.leader(), "move", {"block": block, "to": target})
+    world.run(world.clock.seconds() + 1.0)
+    node = world.nodes[target]
+    machine = world.blocks()[block]["machines"][0]["name"]
+    held = node.holder.machines[machine]
+    incarnation = world.nodes[source].session.inc
+    right = MachineState(machine, held.number, 1, True, 0.5, 1, 0, 1, 0, 0, 0.5, 1, 0, False, False)
+    replace = msgspec.structs.replace
+    wrong = [
+        (source, incarnation, replace(right, number=held.number - 1)),
+        (source, incarnation, replace(right, former_number=held.number)),
+        (source, incarnation, replace(right, machine="host-999999")),
+        (source, incarnation + 1, right),
+        (next(n for n in world.names if n not in (source, target)), 1, right),
+    ]
+    for member, inc, state in wrong:
+        reply = node.sharing.transfer.accept(ReleaseRequest(member, inc, [state]))
+        assert reply == ReleaseReply([]) and not held.taken_over, (member, inc, state)
+    ahead = replace(right, number=node.session.revision + 5)
+    request = ReleaseRequest(source, incarnation, [ahead])
+    assert node.sharing.transfer.accept(request) == ReleaseReply([], [machine])
+    # Without `sole` one before the sender may still answer: the longest lease counts.
+    before = held.last_answer = world.clock.seconds() + 20.0
+    held.answered_at = -1e9
+    node.sharing.transfer._take_over(held, replace(right, sole=False))
+    assert held.last_answer == before and not held.taken_over
+    request = ReleaseRequest(source, incarnation, [right])
+    assert node.sharing.transfer.accept(request) == ReleaseReply([machine])
+    assert held.taken_over and held.last_answer < world.clock.seconds()
+
+
+@pytest.mark.parametrize("way", ["asked for", "leave"])
+def test_a_block_stays_while_one_of_its_machines_is_being_returned(way: str) -> None:
+    world = SharingWorld(5)
+    world.run(12)
+    leader = world.leader()
+    block, holder, target = world.choose_move()
+    machine = world.blocks()[block]["machines"][0]["name"]
+    # The cloud takes the request, and its answer is long in coming.
+    world.network.cut(leader, "cloud", "hold")
+    fleet = world.nodes[leader].leader.fleet
+    fleet.give_back([machine])
+    world.run(world.clock.seconds() + 0.2)
+    assert machine in fleet.going
+    if way == "leave":
+        world.tell(holder, "leave", {})
+    else:
+        world.tell(leader, "move", {"block": block, "to": target})
+    world.run(world.clock.seconds() + 1.0)
+    assert world.blocks()[block]["holder"] == holder
+    world.network.heal(leader, "cloud")
+    world.run(world.clock.seconds() + 60)
+    assert machine not in {m["name"] for r in world.blocks().values() for m in r["machines"]}
+    assert world.checker.broken == [] and world.ownership.faults == []
+
+
+def test_a_block_rests_while_one_of_its_machines_drains() -> None:
+    """Neither planner nor operator moves it; it moves on once the machine is of use again."""
+    world = running()
+    block, source, target = world.choose_move()
+    sharing = world.nodes[world.leader()].sharing
+    machine = world.blocks()[block]["machines"][0]["name"]
+    assert sharing.request_move(MoveRequest(block, target)).done
+    sharing.leader.retiring[machine] = source
+    assert sharing._due_requests() == []
+    assert {h.name: h.resting for h in sharing._holdings()}[block]
+    del sharing.leader.retiring[machine]
+    world.run(world.clock.seconds() + 2.0)
+    assert world.blocks()[block]["holder"] == target
