A test for what waits when a move is not made

Need: without Holder._resume nothing failed, and a start held back for a move was never made. Change: all holders pause, a job comes, nobody moves anything. Result: fails without the guard, passes with it.

--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -298,3 +298,18 @@
     del sharing.leader.retiring[machine]
     world.run(world.clock.seconds() + 2.0)
     assert world.blocks()[block]["holder"] == target
+
+
+def test_what_waits_for_a_move_that_is_not_made_goes_on() -> None:
+    """The leader ends after it asked a holder to prepare: nothing tells the holder to resume."""
+    world = SharingWorld(5)
+    world.run(12)
+    until = world.clock.seconds() + 2.0
+    for node in world.nodes.values():
+        for machine in node.holder.machines.values():
+            node.holder.pause(machine, until)
+    world.submit("j-1", parcels=6)
+    world.run(until - 0.1)
+    assert world.running("j-1") == 0
+    world.run(until + 4.0)
+    assert world.running("j-1") == 6
