--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -157,7 +157,7 @@
     ("leader", "leave", {"undo": "x"}, None),
     ("leader", "leave", {"undo": True}, "True"),
     ("leader", "prepare", {"member": "rig-1", "blocks": {}, "for_s": "long"}, None),
-    ("leader", "prepare", {"member": "nobody", "blocks": {"?": 1}, "for_s": 9.0}, "[]"),
+    ("leader", "prepare", {"member": "nobody", "blocks": {"?": "?number"}, "for_s": 9.0}, "[]"),
     ("other", "prepare", {"member": "?leader", "blocks": {"?": 1}, "for_s": 9.0}, "[]"),
     ("leader", "release", {"member": "rig-1", "incarnation": 1, "machines": [["x"]]}, None),
     ("leader", "release", {"member": "rig-1", "incarnation": 9, "machines": ["?state"]}, "[]"),
@@ -178,7 +178,12 @@
     held = world.nodes[member].holder.machines[machine]
     # As if that machine had moved here: a claim of a former holder that never was one.
     state = MachineState(machine, held.number, 1, True, 99.0, 9, 9, 9, 9, 9, 0, 0, 99, True, True)
-    filled = {"?": block, "?leader": leader, "?state": msgspec.to_builtins(state)}
+    filled = {
+        "?number": held.number,
+        "?": block,
+        "?leader": leader,
+        "?state": msgspec.to_builtins(state),
+    }
 
     def fill(value: Any) -> Any:
         if isinstance(value, dict):
