--- a/src/beamspar/sharing/leave.py
+++ b/src/beamspar/sharing/leave.py
@@ -48,19 +48,22 @@
 def _entries(session: Session) -> dict[str, int]:
     """The entries of the record that speak of a present incarnation."""
     value, _ = session.values.get(LEAVING, ({}, 0))
-    try:
-        entries = msgspec.convert(value, dict[str, int])
-    except msgspec.ValidationError as error:
-        log.error("odd record {key}: {error}", key=LEAVING, error=error)
-        return {}
     found = {}
-    for member, incarnation in entries.items():
+    for member, incarnation in (_read(value) or {}).items():
         fence, _ = session.values.get(f"c/fence/{member}", ({}, 0))
         if fence.get("inc") == incarnation:
             found[member] = incarnation
     return found
 
 
+def _read(value: object) -> dict[str, int] | None:
+    """The record's entries; None if it is damaged."""
+    try:
+        return msgspec.convert(value, dict[str, int])
+    except msgspec.ValidationError:
+        return None
+
+
 class Leave:
     """Takes this controller out of the service, step by step."""
 
@@ -80,6 +83,12 @@
         self.timing = timing
         self.resign = resign
         self.since: float | None = None
+        session.listeners.append(self._changed)
+
+    def _changed(self, key: str) -> None:
+        value, _ = self.session.values.get(LEAVING, ({}, 0))
+        if key == LEAVING and _read(value) is None:
+            log.error("odd record {key}: {value}", key=LEAVING, value=value)
 
     def is_leaving(self) -> bool:
         """Does this controller hand everything over?"""
--- a/src/beamspar/standby/command.py
+++ b/src/beamspar/standby/command.py
@@ -37,7 +37,7 @@
         with urllib.request.urlopen(request, timeout=limit_s) as answer:
             return orjson.loads(answer.read())
     except urllib.error.HTTPError as error:
-        raise NoAnswerError(f"answers {error.code}: is the standby on?") from error
+        raise NoAnswerError(f"answers {error.code}: is it turned on there?") from error
     except (OSError, orjson.JSONDecodeError) as error:
         raise NoAnswerError(f"does not answer: {error}") from error
 
--- a/tests/test_leave.py
+++ b/tests/test_leave.py
@@ -114,6 +114,18 @@
     check_whole(world)
 
 
+@pytest.mark.parametrize("value", [["rig-1"], {"rig-1": "x"}, 7])
+def test_a_damaged_record_makes_nobody_leave_and_is_written_anew(value: object) -> None:
+    world = running()
+    world.state._commit([{"put": "c/leaving", "data": value}])
+    world.run(22)
+    assert set(standings(world).values()) == {"serving"}
+    assert world.say("rig-1", "leave", {})[1]["done"]
+    assert world.state.items["c/leaving"][0] == {"rig-1": world.nodes["rig-1"].session.inc}
+    world.run(95)
+    check_whole(world)
+
+
 @pytest.mark.parametrize("victims", ["leaver", "leader", "third leader"])
 @pytest.mark.parametrize(
     "fault", ["crash", "crash-quick", "freeze-long", "no-state", "no-siblings"]
