--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -84,6 +84,8 @@
         self.late_count_left = -1
         # The maximum random delay of all other responses.
         self.slow_s = 0.0
+        # By prefix of a changed key: the delay of responses to applied transactions, in seconds.
+        self.late_transaction_responses: dict[str, float] = {}
         # By host: the delay of responses to its watches; other responses aren't affected.
         self.late_watches: dict[str, float] = {}
         # Called with the keys of each applied transaction and the process that sent it.
@@ -190,7 +192,9 @@
                 pack({"rows": rows, "truncated": len(keys) > 1000, "ledger_rev": self.revision}),
             )
         if request.path == "/multi":
-            return self._transact(body, writer)
+            response = self._transact(body, writer)
+            await self._delay_response(body)
+            return response
         if request.path == "/grants":
             lease_id, self.next_lease_id = self.next_lease_id, self.next_lease_id + 1
             life = body["life_ms"] / 1000
@@ -215,6 +219,22 @@
             return response
         return HttpResponse(400)
 
+    async def _delay_response(self, body: Any) -> None:
+        """Wait as long as responses to transactions on these keys are delayed."""
+        changed = [change.get("put") or change["drop"] for change in body.get("apply", [])]
+        delay_s = max(
+            (
+                seconds
+                for prefix, seconds in self.late_transaction_responses.items()
+                if any(key.startswith(prefix) for key in changed)
+            ),
+            default=0.0,
+        )
+        if delay_s:
+            late: Deferred[None] = Deferred()
+            self.clock.callLater(delay_s, late.callback, None)
+            await late
+
     def _loses_response(self, body: Any) -> bool:
         """Return whether this transaction gets no response."""
         changes = body.get("apply", [])
