A load leaves a job that is being accepted to its accept

Cause: the check for accepts in progress stood in JobLoader.load_stored_job and not in the load of whole partitions, and JobAcceptor overwrote what was in memory. A controller that takes over a partition lists all stored jobs; among them is each job of its own whose accept is stored while the response is still on its way. It was restored as a second copy, then replaced in the list of jobs by the accept's copy, but its assigned tasks stayed. A cancellation ended the copy in the list; its end dropped the mark; the other copy went on wanting its attempt. The machine controller refused it as long as it remembered that the attempt was over, that is until the shard's next fencing token.

Why it works: a load puts off jobs that are being accepted until the accept is over, and then reads their records anew unless the accept added them. So a record written by an accept in progress is never restored beside it.

One place (JobController.add_job) adds jobs to memory, and two invariants are checked at run time: a job is in memory at most once, and an attempt is wanted to run only by the job in memory. A violation is logged as an error, counted, the action is not taken, and the test during which it happens fails.

--- /dev/null
+++ b/src/beamspar/invariants.py
@@ -0,0 +1,42 @@
+"""Run-time checks of the service's invariants.
+
+A violated invariant is a bug. It is logged as an error with its facts and counted, and the caller
+does not take the action that depends on it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+
+from twisted.logger import Logger
+
+log = Logger(namespace="invariants")
+
+
+class Invariant(Enum):
+    """What must hold whenever the service acts."""
+
+    JOB_IN_MEMORY_ONCE = "a job is in memory at most once"
+    RUN_FOR_JOB_IN_MEMORY = "an attempt is desired to run only by the job in memory"
+
+
+# The number of violations since the start of the process, by invariant.
+violations: Counter[Invariant] = Counter()
+
+
+def check(invariant: Invariant, holds: bool, facts: str) -> bool:
+    """Return whether the invariant holds; if not, log the violation and count it.
+
+    `facts` says for which objects it was checked.
+    """
+    if not holds:
+        violations[invariant] += 1
+        log.error(
+            "invariant violated, the action is not taken: {invariant}: {facts}; violations since "
+            "the start: {count}",
+            invariant=invariant.value,
+            facts=facts,
+            count=violations.total(),
+        )
+    return holds
--- a/src/beamspar/jobs/assignments.py
+++ b/src/beamspar/jobs/assignments.py
@@ -8,7 +8,9 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from beamspar import invariants
 from beamspar.cluster.registration import Registration
+from beamspar.invariants import Invariant
 from beamspar.jobs.desired_state import (
     AssignedTask,
     TaskKey,
@@ -315,8 +317,18 @@
             task.fencing_token = fencing_token
             self.unpublished.pop(key, None)
             action = desired_action(job, task, now, may_start)
+            if action is DesiredAction.RUN and not self._is_in_memory(key, assigned):
+                continue
             attempts.append(desired_attempt(machine, fencing_token, key.name, assigned, action))
 
+    def _is_in_memory(self, key: TaskKey, assigned: AssignedTask) -> bool:
+        """Return whether the task belongs to the job in memory; only then may it be started."""
+        return invariants.check(
+            Invariant.RUN_FOR_JOB_IN_MEMORY,
+            self.job_store.jobs.get(key.job_id) is assigned.job,
+            f"{key.name} attempt {assigned.task.attempt} on {assigned.task.machine}",
+        )
+
     def _add_clears(
         self, machine: str, fencing_token: int, now: float, desired: dict[str, list[DesiredAttempt]]
     ) -> None:
--- a/src/beamspar/jobs/job_acceptor.py
+++ b/src/beamspar/jobs/job_acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
 from beamspar.cluster.registration import Registration
@@ -48,8 +49,9 @@
         self._timeouts = timeouts
         self._job_store = job_store
         self._indeterminate = IndeterminateAccepts(clock, registration, state, timeouts, job_store)
-        # Jobs whose accept is in progress, by job ID.
+        # Jobs whose accept is in progress, by job ID, and what waits for its end.
         self.jobs_being_accepted: dict[str, Job] = {}
+        self._waiting_for_accept: dict[str, list[Deferred[None]]] = {}
 
     @property
     def indeterminate_accepts(self) -> dict[str, list[Job]]:
@@ -77,6 +79,17 @@
             return await self._accept(job)
         finally:
             del self.jobs_being_accepted[spec.id]
+            for waiting in self._waiting_for_accept.pop(spec.id, ()):
+                waiting.callback(None)
+
+    def accept_finished(self, job_id: str) -> Deferred[None]:
+        """Return a Deferred that fires once no accept of the job is in progress here."""
+        finished: Deferred[None] = Deferred()
+        if job_id in self.jobs_being_accepted:
+            self._waiting_for_accept.setdefault(job_id, []).append(finished)
+        else:
+            finished.callback(None)
+        return finished
 
     async def _accept(self, job: Job) -> bool:
         await self._job_store.place([job])
@@ -88,7 +101,7 @@
                 self._preconditions(job), [change], RequestPriority.ACCEPT
             )
         except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
-            self._discard(job, error)
+            self._discard(job, isinstance(error, OutcomeUnknownError))
             raise
         self._apply_stored(job, version, bound_count)
         self._begin_work(job)
@@ -107,12 +120,12 @@
             keys.finished_job_key(job.id): 0,
         }
 
-    def _discard(self, job: Job, error: Exception) -> None:
-        """Unbind the tasks of a job whose accept failed or has an unknown outcome."""
+    def _discard(self, job: Job, is_outcome_unknown: bool) -> None:
+        """Unbind the tasks of a job that this accept does not add to memory."""
         for index, task in job.tasks.items():
             if task.machine is not None:
                 self._job_store.unassign(task.machine, job, index)
-        if isinstance(error, OutcomeUnknownError):
+        if is_outcome_unknown:
             # The record, with its bound tasks, may still be stored. Its usage stays counted,
             # as a record that appears late would otherwise exceed the team's quota.
             self._indeterminate.add(job)
@@ -135,7 +148,9 @@
 
         This applies a cancellation, writes the changed chunks, and places pending tasks.
         """
-        self._job_store.jobs[job.id] = job
+        if not self._job_store.add_job(job):
+            self._discard(job, is_outcome_unknown=False)
+            return
         log.info(
             "{job} accepted ({job_class}): {placed} of its {n} tasks are bound",
             job=job.id,
--- a/src/beamspar/jobs/job_controller.py
+++ b/src/beamspar/jobs/job_controller.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
+from beamspar import invariants
 from beamspar.cluster.registration import Registration
+from beamspar.invariants import Invariant
 from beamspar.jobs.assignments import Assignments
 from beamspar.jobs.attempt_statuses import AttemptStatusHandler
 from beamspar.jobs.empty_partitions import EmptyPartitionRemover
@@ -125,9 +128,20 @@
         """Load the jobs of the owned partitions that are not in memory yet."""
         await self.loader.load()
 
-    def add_restored_job(self, job: Job) -> None:
-        """Add a restored job to the jobs in memory."""
-        self.jobs[job.id] = job
+    def add_job(self, job: Job) -> bool:
+        """Add a job to the jobs in memory; return False if it is there already.
+
+        Of two copies of a job in memory, one would go on after the other has ended.
+        """
+        is_new = job.id not in self.jobs
+        if invariants.check(Invariant.JOB_IN_MEMORY_ONCE, is_new, job.id):
+            self.jobs[job.id] = job
+        return is_new
+
+    def add_restored_job(self, job: Job) -> bool:
+        """Add a restored job to the jobs in memory; return False if it is there already."""
+        if not self.add_job(job):
+            return False
         for index, task in job.tasks.items():
             if task.machine is not None:
                 self.assignments.assign(task.machine, job, index, task)
@@ -137,6 +151,7 @@
             # The cancellation may have been stored after the job's record was read. If the restored
             # job is already cancelled, this has no effect.
             self.apply_cancellation(job.id)
+        return True
 
     def on_jobs_loaded(self) -> None:
         """Publish the desired state of all machines after more partitions have been loaded."""
@@ -176,6 +191,10 @@
         """Jobs whose acceptance by this controller is in progress, by ID."""
         return self.acceptor.jobs_being_accepted
 
+    def accept_finished(self, job_id: str) -> Deferred[None]:
+        """Return a Deferred that fires once no accept of the job is in progress here."""
+        return self.acceptor.accept_finished(job_id)
+
     @property
     def indeterminate_accepts(self) -> dict[str, list[Job]]:
         """Jobs whose acceptance has an indeterminate outcome, by ID."""
--- a/src/beamspar/jobs/job_loader.py
+++ b/src/beamspar/jobs/job_loader.py
@@ -132,12 +132,25 @@
 
     async def _load_all(self, ownership: dict[str, int]) -> None:
         items, _ = await self._state.scan(keys.JOB_PREFIX, RequestPriority.ACCEPT)
+        # The record of such a job may be the one that its accept has just stored.
+        being_accepted: list[str] = []
         for item in items:
-            await self._load_job(item, ownership)
-
-    async def _load_job(self, item: KeyValue, ownership: dict[str, int]) -> None:
+            job_id = item.key.removeprefix(keys.JOB_PREFIX)
+            if job_id in self._job_store.jobs_being_accepted:
+                being_accepted.append(job_id)
+            else:
+                await self._load_job(job_id, item, ownership)
+        for job_id in being_accepted:
+            await self._load_after_accept(job_id)
+
+    async def _load_after_accept(self, job_id: str) -> None:
+        """Load a job whose accept is in progress, unless the accept adds it to memory."""
+        while job_id in self._job_store.jobs_being_accepted:
+            await self._job_store.accept_finished(job_id)
+            await self._load_record(job_id)
+
+    async def _load_job(self, job_id: str, item: KeyValue, ownership: dict[str, int]) -> None:
         record = records.read_job(item)
-        job_id = item.key.removeprefix(keys.JOB_PREFIX)
         if job_id in self._job_store.jobs or not self._is_still_owned(record.partition, ownership):
             return
         job = await self._restore(record, item.version)
@@ -194,5 +207,4 @@
             or job.id in self.finished_during_load
         ):
             return False
-        job_store.add_restored_job(job)
-        return True
+        return job_store.add_restored_job(job)
--- a/src/beamspar/jobs/job_store.py
+++ b/src/beamspar/jobs/job_store.py
@@ -7,6 +7,8 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from twisted.internet.defer import Deferred
+
 from beamspar.quota.quota_manager import QuotaManager
 from beamspar.workload.job import Job
 
@@ -46,8 +48,11 @@
     def jobs_being_accepted(self) -> dict[str, Job]:
         """Jobs that this controller is accepting, by ID."""
 
-    def add_restored_job(self, job: Job) -> None:
-        """Add a restored job to the jobs in memory."""
+    def accept_finished(self, job_id: str) -> Deferred[None]:
+        """Return a Deferred that fires once no accept of the job is in progress here."""
+
+    def add_restored_job(self, job: Job) -> bool:
+        """Add a restored job to the jobs in memory; return False if it is there already."""
 
     def on_jobs_loaded(self) -> None:
         """Publish the desired state of all machines, as more partitions have been loaded."""
@@ -59,6 +64,9 @@
     writer: JobWriter
     quota_manager: QuotaManager | None
 
+    def add_job(self, job: Job) -> bool:
+        """Add a job to the jobs in memory; return False if it is there already."""
+
     async def place(self, jobs: list[Job]) -> None:
         """Bind the tasks of these jobs that can be placed now."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,14 @@
-"""How the suite is distributed over test processes (`pytest -n`)."""
+"""How the suite is distributed over test processes (`pytest -n`), and a check of every test."""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
 
+from beamspar import invariants
+
 # These start real processes, build into `target/app` and listen on loopback. They run one after
 # the other in one test process: if two ran in parallel, one would rebuild what the other runs.
 REAL_PROCESS_FILES = ("test_program.py", "test_loopback.py", "test_reshuffle.py")
@@ -35,3 +38,11 @@
             return work_unit(nodeid)
 
     return RealProcessesTogether(config, log)
+
+
+@pytest.fixture(autouse=True)
+def invariants_hold() -> Iterator[None]:
+    """Fail each test during which the service reports a violated invariant."""
+    invariants.violations.clear()
+    yield
+    assert not invariants.violations
--- a/tests/test_job_controller.py
+++ b/tests/test_job_controller.py
@@ -12,6 +12,7 @@
 from beamspar.protocol.jobs import JobSpec
 from beamspar.settings import OperatorSettings
 from beamspar.state.control_records import JobPartition
+from beamspar.state.errors import ConflictError
 from beamspar.state.job_records import JobRecord
 from beamspar.state.messages import KeyValue
 from beamspar.timeouts import Timeouts
@@ -47,6 +48,11 @@
     async def get(self, key: str, *rest: Any) -> KeyValue | None:
         return self.item
 
+    async def transact(self, *rest: Any) -> int:
+        transaction_reply: Deferred[int] = Deferred()
+        self.pending_replies.append(transaction_reply)
+        return await transaction_reply
+
 
 def make() -> tuple[JobController, SlowStore]:
     clock, store = SimClock(), SlowStore()
@@ -111,3 +117,34 @@
         store.pending_replies.pop().callback(None)
     assert controller.loaded_partitions == set()
     assert controller.jobs == {}
+
+
+def make_with_an_accept_and_a_load() -> tuple[JobController, SlowStore]:
+    """Return a controller whose load has listed the record of a job that it is accepting."""
+    controller, store = make()
+    controller.registration.partition = "rig-1.1"
+    ensureDeferred(controller.accept(SPEC)).addErrback(lambda failure: failure.trap(ConflictError))
+    ensureDeferred(controller.load())
+    assert "j-1" in controller.jobs_being_accepted and controller.jobs == {}
+    return controller, store
+
+
+def test_a_load_does_not_add_a_job_that_an_accept_in_progress_adds() -> None:
+    controller, store = make_with_an_accept_and_a_load()
+    accept_reply = store.pending_replies.pop()
+    assert store.pending_replies == []
+    accept_reply.callback(7)
+    job = controller.jobs["j-1"]
+    while store.pending_replies:
+        store.pending_replies.pop().callback(None)
+    assert controller.jobs == {"j-1": job}
+    assert controller.loaded_partitions == {"rig-1.1"}
+
+
+def test_a_load_adds_a_stored_job_after_its_repeated_accept_was_refused() -> None:
+    controller, store = make_with_an_accept_and_a_load()
+    store.pending_replies.pop().errback(ConflictError(["job/j-1"]))
+    assert controller.loaded_partitions == set()
+    store.pending_replies.pop().callback(None)
+    assert controller.jobs["j-1"].version == 7
+    assert controller.loaded_partitions == {"rig-1.1"}
