A status counts only under the token of the machine's present holder

A holder that was frozen and goes on tells refusals under its former token: its machine has moved, and the new holder, told by the job controller's earlier process, has started the attempt.

Why it works: the mirror of a job controller that has loaded a job is at least as new as what its predecessor went by, so the present holder's token bounds what any holder could have been told to start.

--- a/src/beamspar/cluster/state_mirror.py
+++ b/src/beamspar/cluster/state_mirror.py
@@ -114,6 +114,11 @@
         shard = self.shards.get(self.shard_of.get(machine, ""))
         return (shard.holder, shard.fencing_token) if shard else None
 
+    def fencing_token_of(self, machine: str) -> int:
+        """Return the fencing token of the machine's shard; 0 if it is in none."""
+        holder = self.holder_of(machine)
+        return holder[1] if holder is not None else 0
+
     def partition_condition(self, partition: str) -> dict[str, int]:
         """Return the transaction condition that the partition's record is as in the mirror."""
         record = self.partitions.get(partition)
--- a/src/beamspar/jobs/attempt_statuses.py
+++ b/src/beamspar/jobs/attempt_statuses.py
@@ -100,7 +100,7 @@
         job_id, _, index_text = status.task.partition("/")
         job = self.job_store.jobs.get(job_id)
         task = job.tasks.get(int(index_text)) if job else None
-        if job is None or task is None or not _is_current(task, status):
+        if job is None or task is None or not self._is_current(task, status):
             return None
         if status.state in TERMINAL_STATES:
             self._end_attempt(job, int(index_text), task, status)
@@ -111,6 +111,20 @@
                 self.gang_attempts.observe_state(job, status.state)
         return None
 
+    def _is_current(self, task: Task, status: AttemptStatus) -> bool:
+        """Return whether the status concerns the task's current attempt, and is not outdated.
+
+        It is outdated if its fencing token is older than the one last sent with the task or that of
+        the machine's present holder, which another controller, or an earlier process of this one,
+        may have had start the attempt.
+        """
+        present_token = self.mirror.fencing_token_of(status.machine)
+        return (
+            task.attempt == status.attempt
+            and task.machine == status.machine
+            and status.fencing_token >= max(task.fencing_token, present_token)
+        )
+
     # -- ended attempts
 
     def end_attempts_on_vanished_machines(self) -> None:
@@ -213,16 +227,3 @@
                 job=job.id,
                 n=self.jobs_backed_off,
             )
-
-
-def _is_current(task: Task, status: AttemptStatus) -> bool:
-    """Return whether the status concerns the task's current attempt.
-
-    A status with an older fencing token than the one last sent with the task is stale: it does
-    not reflect what the machine controller with the newer token does.
-    """
-    return (
-        task.attempt == status.attempt
-        and task.machine == status.machine
-        and status.fencing_token >= task.fencing_token
-    )
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import random
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -86,6 +87,8 @@
         self.slow_s = 0.0
         # By prefix of a changed key: the delay of responses to applied transactions, in seconds.
         self.late_transaction_responses: dict[str, float] = {}
+        # By prefix: the delay of lists of the keys below it, in seconds.
+        self.late_scans: dict[str, float] = {}
         # By host: the delay of responses to its watches; other responses aren't affected.
         self.late_watches: dict[str, float] = {}
         # Called with the keys of each applied transaction and the process that sent it.
@@ -143,10 +146,9 @@
                 self.watches.append((prefix, since, result, host))
 
     def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        first = bisect.bisect_right(self.history, since, key=lambda change: change[0])
         return [
-            e
-            for rev, e in self.history
-            if rev > since and (e.get("put") or e["drop"]).startswith(prefix)
+            e for _, e in self.history[first:] if (e.get("put") or e["drop"]).startswith(prefix)
         ]
 
     def _watch_response(self, events: list[dict[str, Any]]) -> HttpResponse:
@@ -182,6 +184,7 @@
             return HttpResponse(200, pack({"key": key, "data": item[0], "entry_rev": item[1]}))
         if request.path == "/store":
             prefix, since = request.query["under"], request.query.get("since", "")
+            await self._wait(self.late_scans.get(prefix, 0.0))
             keys = sorted(k for k in self.items if k.startswith(prefix) and k > since)
             rows = [
                 {"key": k, "data": self.items[k][0], "entry_rev": self.items[k][1]}
@@ -230,6 +233,9 @@
             ),
             default=0.0,
         )
+        await self._wait(delay_s)
+
+    async def _wait(self, delay_s: float) -> None:
         if delay_s:
             late: Deferred[None] = Deferred()
             self.clock.callLater(delay_s, late.callback, None)
--- a/tests/test_attempt_statuses.py
+++ b/tests/test_attempt_statuses.py
@@ -80,6 +80,17 @@
     assert not job.retry_queue and not job.dirty_chunks
 
 
+def test_a_status_of_a_former_holder_is_ignored_before_a_restored_task_is_published() -> None:
+    controller, job, _ = make()
+    job.tasks[0].fencing_token = 0
+    shard = controller.mirror.value(keys.shard_key("s-1"))
+    controller.mirror.observe(keys.shard_key("s-1"), {**shard, "holder": "rig-2"}, TOKEN + 1)
+    controller.observe_statuses([status(0, AttemptState.REFUSED)])
+    assert job.tasks[0].machine == "host-0"
+    controller.observe_statuses([status(0, AttemptState.REFUSED, fencing_token=TOKEN + 1)])
+    assert job.tasks[0].machine is None
+
+
 @pytest.mark.parametrize("answer", [AttemptState.GONE, AttemptState.REFUSED, AttemptState.KEPT])
 def test_a_task_that_is_done_is_cleared_on_its_machine_and_not_retried(answer: str) -> None:
     controller, job, _ = make()
