--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,12 @@
 
 # These start real processes, build into `target/app` and listen on loopback. They run one after
 # the other in one test process: if two ran in parallel, one would rebuild what the other runs.
-REAL_PROCESS_FILES = ("test_program.py", "test_loopback.py", "test_reshuffle.py")
+REAL_PROCESS_FILES = (
+    "test_program.py",
+    "test_loopback.py",
+    "test_reshuffle.py",
+    "test_soak.py",
+)
 GROUP = "real-processes"
 
 
--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -43,7 +43,7 @@
 [facts]
 nodes = {nodes}
 zones = {zones}
-teams = [{{ name = "red" }}, {{ name = "blue" }}]
+teams = {teams}
 [facts.workers]
 report_s = {report_s}
 lease_s = {lease_s}
@@ -60,6 +60,15 @@
 SIBLING = '[[siblings]]\nmember = "{member}"\nsite = "{site}"\npeer_addr = "{peer_addr}"\n'
 
 
+def toml_table(values: dict[str, Any]) -> str:
+    """Return an inline table of strings and numbers."""
+    pairs = (
+        f'{key} = "{value}"' if isinstance(value, str) else f"{key} = {float(value)}"
+        for key, value in values.items()
+    )
+    return "{ " + ", ".join(pairs) + " }"
+
+
 class LoopbackClock:
     """The reactor's monotonic time since the start of the deployment."""
 
@@ -152,12 +161,13 @@
                 SIBLING.format(
                     member=sibling["member"],
                     site=sibling["site"],
-                    peer_addr=network.real_address(sibling["peer_addr"]),
+                    peer_addr=self.address_seen_by(name, sibling["peer_addr"]),
                 )
                 for sibling in raw["siblings"]
             ),
-            cloud=network.real_address("cloud:1"),
-            state=network.real_address("state:1"),
+            cloud=self.address_seen_by(name, "cloud:1"),
+            state=self.address_seen_by(name, "state:1"),
+            teams="[" + ", ".join(map(toml_table, raw["facts"]["teams"])) + "]",
             nodes=raw["facts"]["nodes"],
             zones=raw["facts"]["zones"],
             report_s=float(self.worker_settings["report_s"]),
@@ -170,6 +180,11 @@
         path.write_text(text)
         return path
 
+    def address_seen_by(self, name: str, address: str) -> str:
+        """Return the TCP address under which a controller reaches an address of the simulation."""
+        network: Any = self.network
+        return str(network.real_address(address))
+
     def boot(self, name: str) -> None:
         self.network.alive.add(name)
         with (self.folder / f"{name}.log").open("ab") as log:
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -19,6 +19,10 @@
 class Worker:
     """The worker of one machine: enforces fencing tokens and its lease, and runs tasks."""
 
+    # How long it waits for a response to a heartbeat, and how long until it tries the next node.
+    RESPONSE_TIMEOUT_S = 4.0
+    RETRY_S = 1.0
+
     def __init__(
         self, clock: SimClock, network: Network, checker: Checker, rng: random.Random,
         name: str, kind: dict[str, Any], zone: str, spot: bool, settings: dict[str, Any],
@@ -127,8 +131,9 @@
         self.sent_heartbeats.append(body)
         self.on_heartbeat(body)
         call = self.network.request(
-            self.name, "POST", self.controllers[self.target], "/v1/report", body, 4.0
-        )
+            self.name, "POST", self.controllers[self.target], "/v1/report", body,
+            self.RESPONSE_TIMEOUT_S,
+        )  # fmt: skip
         call.addCallbacks(
             lambda response: self._on_response(response, sent_at, agent_epoch),
             lambda _: self._try_next_controller(),
@@ -138,7 +143,7 @@
         self.is_heartbeat_in_flight = False
         names = sorted(self.controllers)
         self.target = names[(names.index(self.target) + 1) % len(names)]
-        self.clock.callLater(1.0, self._send_heartbeat)
+        self.clock.callLater(self.RETRY_S, self._send_heartbeat)
 
     def _on_response(self, response: HttpResponse, sent_at: float, agent_epoch: int) -> None:
         self.is_heartbeat_in_flight = False
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,124 @@
+"""The soak on real processes: fixed seeds pass, a planted fault fails, bad options end at once.
+
+More seeds: `python -m tests.soak --seeds 50 --report target/soak`.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import orjson
+
+from tests.soak_schedule import KINDS, schedule
+from tests.test_program import ROOT, build
+
+SEEDS = 2
+
+
+def run_soak(*options: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "tests.soak", *options],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
+        capture_output=True,
+        text=True,
+        timeout=600,
+    )
+
+
+def app_that_ignores_cancellations(folder: Path) -> Path:
+    """Return a copy of the built program whose controllers never stop a cancelled job."""
+    build()
+    app = folder / "target" / "app"
+    shutil.copytree(ROOT / "target" / "app", app)
+    (folder / "target" / "deps").symlink_to(ROOT / "target" / "deps")
+    for name, definition in (
+        ("cluster/state_mirror.py", "def is_cancelled(self, job: str) -> bool:\n"),
+        ("jobs/job_controller.py", "def apply_cancellation(self, job_id: str) -> None:\n"),
+    ):
+        module = app / "src" / "beamspar" / name
+        text = module.read_text()
+        assert definition in text
+        module.write_text(text.replace(definition, f"{definition}        return\n"))
+    for bytecode in app.rglob("__pycache__"):
+        shutil.rmtree(bytecode)
+    return app / "run.py"
+
+
+def test_the_fixed_seeds_break_no_rule() -> None:
+    build()
+    done = run_soak("--seeds", str(SEEDS), "--parallel", str(SEEDS))
+    summary = orjson.loads(done.stdout.splitlines()[-1])
+    assert summary["violated"] == [] and summary["errors"] == 0, done.stdout
+    assert summary["judged"] + summary["void"] == SEEDS
+
+
+def test_a_controller_that_ignores_cancellations_fails(tmp_path: Path) -> None:
+    app = app_that_ignores_cancellations(tmp_path)
+    report = tmp_path / "report"
+    done = run_soak("--seeds", "1", "--app", str(app), "--report", str(report), "--fail-fast")
+    summary = orjson.loads(done.stdout.splitlines()[-1])
+    assert done.returncode == 1 and summary["violated"] == [1], done.stdout
+    assert "ran_cancelled" in done.stdout and "play again: python -m tests.soak" in done.stdout
+    seed_report = report / "1"
+    assert orjson.loads((seed_report / "result.json").read_bytes())["faults"]
+    assert "registered as" in (seed_report / "rig-0.log").read_text()
+
+
+def test_bad_options_and_a_controller_that_does_not_start_end_with_one_line(tmp_path: Path) -> None:
+    for options in (("--seeds", "0"), (), ("--seeds", "1", "--nonsense")):
+        done = run_soak(*options)
+        assert done.returncode == 2, done
+        assert "Traceback" not in done.stderr
+    broken = tmp_path / "run.py"
+    broken.write_text("raise SystemExit(3)\n")
+    done = run_soak("--seeds", "1", "--app", str(broken))
+    assert done.returncode == 1
+    assert done.stdout.splitlines()[0] == "seed 1 (36 workers): error: seed 1: rig-0 ended with 3"
+
+
+def processes_of(marker: str) -> list[str]:
+    found = []
+    for folder in Path("/proc").iterdir():
+        if folder.name.isdigit():
+            try:
+                line = (folder / "cmdline").read_bytes()
+            except OSError:
+                continue
+            if marker.encode() in line:
+                found.append(folder.name)
+    return found
+
+
+def test_an_interrupted_soak_leaves_no_process(tmp_path: Path) -> None:
+    app = tmp_path / "app-of-this-test"
+    build()
+    shutil.copytree(ROOT / "target" / "app", app)
+    (tmp_path / "deps").symlink_to(ROOT / "target" / "deps")
+    soak = subprocess.Popen(
+        [sys.executable, "-m", "tests.soak", "--seeds", "2", "--app", str(app / "run.py")],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    deadline = time.monotonic() + 30
+    while len(processes_of(str(app))) < 7 and time.monotonic() < deadline:
+        time.sleep(0.2)
+    soak.send_signal(signal.SIGINT)
+    assert soak.wait(timeout=60) == 1
+    while processes_of(str(app)) and time.monotonic() < deadline + 15:
+        time.sleep(0.2)
+    assert processes_of(str(app)) == []
+
+
+def test_schedules_are_fixed_by_their_seed_and_use_every_kind_of_fault() -> None:
+    assert schedule(3) == schedule(3) != schedule(4)
+    used = {fault.kind for seed in range(1, 21) for fault in schedule(seed)}
+    assert used == set(KINDS)
