Invariants of cancellations at run time, with log lines and metrics

What the incident lacked: why a start was allowed, and whether a holder still had attempts when a cancellation came and went. A start's line now has the revision and age of the mirror it went by; a holder logs a cancellation's mark and its removal with the machines that report the job; POST /peer/metrics tells violated invariants, the mirror, the lease, the leader, jobs and machines.

Two more invariants: a start leaves only for an attempt that is neither cancelled nor over (CommandSender, as it leaves), and a cancellation is dropped after the job's last attempt (MachineController): what is left is stopped at once instead of waiting for the check of orphans, which an outage refuses.

--- a/src/beamspar/cluster/registration.py
+++ b/src/beamspar/cluster/registration.py
@@ -78,10 +78,12 @@
 
     def is_lease_valid(self) -> bool:
         """Return whether this process may act on machines and jobs right now."""
-        if not self.is_started or self.is_ended:
-            return False
+        return self.is_started and not self.is_ended and self.lease_left_s() > 0
+
+    def lease_left_s(self) -> float:
+        """Return how long this process may still act without another renewal, in seconds."""
         confirmed_at = min(self.renewed_at, self.mirror.current_as_of)
-        return self.clock.seconds() < confirmed_at + self.timeouts.lease_validity_s
+        return confirmed_at + self.timeouts.lease_validity_s - self.clock.seconds()
 
     def fence_condition(self) -> dict[str, int]:
         """Return the transaction condition that the fence is still that of this incarnation.
--- a/src/beamspar/cluster/state_mirror.py
+++ b/src/beamspar/cluster/state_mirror.py
@@ -101,7 +101,11 @@
         however, may be of a job that its user has cancelled, so a controller that is partitioned
         from the state service or was frozen starts nothing.
         """
-        return self.clock.seconds() - self.current_as_of < self.timeouts.mirror_max_age_s
+        return self.age_s() < self.timeouts.mirror_max_age_s
+
+    def age_s(self) -> float:
+        """Return the seconds since the mirror was last known to be up to date."""
+        return self.clock.seconds() - self.current_as_of
 
     @property
     def leader(self) -> str | None:
--- a/src/beamspar/invariants.py
+++ b/src/beamspar/invariants.py
@@ -19,6 +19,8 @@
 
     JOB_IN_MEMORY_ONCE = "a job is in memory at most once"
     RUN_FOR_JOB_IN_MEMORY = "an attempt is desired to run only by the job in memory"
+    CANCELLATION_OUTLASTS_ATTEMPTS = "a cancellation is dropped after the job's last attempt"
+    START_PERMITTED = "a start leaves only for an attempt that is neither cancelled nor over"
 
 
 # The number of violations since the start of the process, by invariant.
--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -4,6 +4,9 @@
 
 from twisted.logger import Logger
 
+from beamspar import invariants
+from beamspar.cluster.state_mirror import StateMirror
+from beamspar.invariants import Invariant
 from beamspar.machines.managed_machine import AttemptKey, ManagedMachine, SentStart
 from beamspar.machines.reconciler import Reconciler
 from beamspar.machines.worker_client import CommandResult, WorkerClient
@@ -26,9 +29,11 @@
         observer: WorkerObserver,
         timeouts: Timeouts,
         reconciler: Reconciler,
+        mirror: StateMirror,
     ) -> None:
         self.clock = clock
         self.workers = workers
+        self.mirror = mirror
         self.observer = observer
         self.timeouts = timeouts
         self.reconciler = reconciler
@@ -41,9 +46,11 @@
     async def _send(self, machine: ManagedMachine, commands: list[Command]) -> None:
         epoch, token = machine.agent_epoch, machine.command_token
         sent_starts: dict[AttemptKey, SentStart] = {}
+        commands = [command for command in commands if self._is_permitted(machine, command)]
         for command in commands:
             if isinstance(command, StartCommand):
                 key = AttemptKey(command.task, command.attempt)
+                self._log_start(machine, key)
                 sent_starts[key] = _record_start(machine, key, epoch, token)
         try:
             result = await self.workers.send_commands(machine.info.address, token, epoch, commands)
@@ -68,6 +75,38 @@
             machine.next_send_at = max(machine.next_send_at, earliest)
         self.reconciler.reconcile(machine)
 
+    def _is_permitted(self, machine: ManagedMachine, command: Command) -> bool:
+        """Check a start at the last moment before it leaves."""
+        if not isinstance(command, StartCommand):
+            return True
+        key = AttemptKey(command.task, command.attempt)
+        is_cancelled = self.mirror.is_cancelled(key.job)
+        is_over = key in machine.terminated
+        is_permitted = (
+            machine.has_confirmed_token
+            and self.mirror.is_current()
+            and not is_cancelled
+            and not is_over
+        )
+        return invariants.check(
+            Invariant.START_PERMITTED,
+            is_permitted,
+            f"{key} on {machine.info.name}: cancelled {is_cancelled}, over {is_over}, token "
+            f"confirmed {machine.has_confirmed_token}, mirror {self.mirror.age_s():.1f} s old",
+        )
+
+    def _log_start(self, machine: ManagedMachine, key: AttemptKey) -> None:
+        log.info(
+            "{machine}: sending the start of {task} attempt {attempt} under fencing token {token}, "
+            "by a mirror of revision {revision}, {age_s:.1f} s old",
+            task=key.task,
+            attempt=key.attempt,
+            machine=machine.info.name,
+            token=machine.command_token,
+            revision=self.mirror.revision,
+            age_s=self.mirror.age_s(),
+        )
+
     def _handle_failure(
         self,
         machine: ManagedMachine,
@@ -104,13 +143,6 @@
     if machine.is_superseded(start):
         start.is_indeterminate = start.is_answered = False
     start.agent_epoch, start.fencing_token = epoch, token
-    log.info(
-        "{machine}: sending the start of {task} attempt {attempt} under fencing token {token}",
-        task=key.task,
-        attempt=key.attempt,
-        machine=machine.info.name,
-        token=token,
-    )
     return start
 
 
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -12,14 +12,16 @@
 
 from twisted.logger import Logger
 
+from beamspar import invariants
 from beamspar.cluster.registration import Registration
+from beamspar.invariants import Invariant
 from beamspar.machines.command_planning import CommandPlanner
 from beamspar.machines.command_sending import CommandSender
 from beamspar.machines.desired_state import DesiredState
 from beamspar.machines.fault_evidence import FaultEvidence
 from beamspar.machines.image_caches import ImageCaches
 from beamspar.machines.machine_summaries import MachineSummaries
-from beamspar.machines.managed_machine import ManagedMachine
+from beamspar.machines.managed_machine import AttemptKey, ManagedMachine
 from beamspar.machines.orphan_detection import CheckBinding, OrphanDetector
 from beamspar.machines.status_publishing import StatusPublisher
 from beamspar.machines.worker_client import WorkerClient
@@ -101,7 +103,7 @@
             self.desired_state.owner_of, lambda owner, statuses: self.push_statuses(owner, statuses)
         )
         self.planner = CommandPlanner(clock, self.mirror, self.summaries, timeouts)
-        self.sender = CommandSender(clock, workers, self.observer, timeouts, self)
+        self.sender = CommandSender(clock, workers, self.observer, timeouts, self, self.mirror)
         self.orphan_detector = OrphanDetector(clock, timeouts, check_binding, self)
         self.mirror.listeners.append(self._on_mirror_changed)
 
@@ -114,12 +116,46 @@
             self._handle_cancellation(key.removeprefix(keys.CANCELLATION_PREFIX))
 
     def _handle_cancellation(self, job: str) -> None:
+        attempts_by_machine = self._reported_attempts_of(job)
+        if not self.mirror.is_cancelled(job):
+            self._stop_leftovers(attempts_by_machine)
+        for machine, attempts in attempts_by_machine:
+            machine.mark_changed(*attempts)
+            self.reconcile(machine)
+        if attempts_by_machine:
+            log.info(
+                "{job}: cancelled is now {is_cancelled}; it is reported by {machines}, the mirror "
+                "has revision {revision} and is {age_s:.1f} s old",
+                job=job,
+                is_cancelled=self.mirror.is_cancelled(job),
+                machines=[machine.info.name for machine, _ in attempts_by_machine],
+                revision=self.mirror.revision,
+                age_s=self.mirror.age_s(),
+            )
+
+    def _reported_attempts_of(self, job: str) -> list[tuple[ManagedMachine, list[AttemptKey]]]:
         prefix = job + "/"
+        reported = []
         for machine in self.machines.values():
             attempts = [key for key in machine.tasks if key.task.startswith(prefix)]
             if attempts:
-                machine.mark_changed(*attempts)
-                self.reconcile(machine)
+                reported.append((machine, attempts))
+        return reported
+
+    def _stop_leftovers(
+        self, attempts_by_machine: list[tuple[ManagedMachine, list[AttemptKey]]]
+    ) -> None:
+        """Stop what still runs of a cancelled job whose end was stored."""
+        for machine, attempts in attempts_by_machine:
+            for key in attempts:
+                is_over = machine.tasks[key].status == "ended"
+                if not invariants.check(
+                    Invariant.CANCELLATION_OUTLASTS_ATTEMPTS,
+                    is_over,
+                    f"{key} on {machine.info.name} is {machine.tasks[key].status}, under fencing "
+                    f"token {machine.fencing_token}",
+                ):
+                    machine.orphaned.add(key)
 
     def _update_shard(self, shard_name: str) -> None:
         """Start managing the shard's machines if this controller holds the shard.
--- a/src/beamspar/node/peer_dispatch.py
+++ b/src/beamspar/node/peer_dispatch.py
@@ -8,6 +8,7 @@
 import orjson
 from twisted.logger import Logger
 
+from beamspar import invariants
 from beamspar.node.departure import Departure
 from beamspar.node.desired_state_delivery import apply_updates
 from beamspar.node.forwarding import answer_forwarded
@@ -22,6 +23,7 @@
     DesiredStateUpdate,
     HeartbeatResponse,
     MemberHeartbeat,
+    Metrics,
     decode,
     encode,
 )
@@ -59,6 +61,24 @@
     return EMPTY_BODY
 
 
+def _metrics(actors: Actors, body: bytes) -> bytes:
+    registration = actors.registration
+    mirror = registration.mirror
+    return encode(
+        Metrics(
+            violations={
+                invariant.value: count for invariant, count in invariants.violations.items()
+            },
+            mirror_revision=mirror.revision,
+            mirror_age_s=mirror.age_s(),
+            lease_left_s=registration.lease_left_s(),
+            leader=mirror.leader or "",
+            jobs=len(actors.job_controller.jobs),
+            machines=len(actors.machine_controller.machines),
+        )
+    )
+
+
 # Handlers of messages that only a registered controller processes.
 HANDLERS: dict[str, Callable[[Actors, bytes], bytes]] = {
     PeerPath.DESIRED_STATE: _apply_desired_state,
@@ -66,6 +86,7 @@
     PeerPath.CAPACITY_REQUESTS: _offer_capacity,
     PeerPath.HEARTBEAT: _observe_heartbeat,
     PeerPath.CANCELLATIONS: _observe_cancellations,
+    PeerPath.METRICS: _metrics,
 }
 # Responses of a controller that is not registered. It rejects all other messages, so that the
 # sender retries them.
--- a/src/beamspar/node/peer_paths.py
+++ b/src/beamspar/node/peer_paths.py
@@ -17,6 +17,7 @@
     DESIRED_STATE = "sync"
     ATTEMPT_STATUSES = "statuses"
     CANCELLATIONS = "withdrawn"
+    METRICS = "metrics"
     # Operators' requests, which are answered even by a controller that has left.
     SHARES = "shares"
     LEAVE = "leave"
--- a/src/beamspar/protocol/peer_messages.py
+++ b/src/beamspar/protocol/peer_messages.py
@@ -267,6 +267,21 @@
     served_s: float
 
 
+class Metrics(msgspec.Struct):
+    """Counts and ages by which operators see what a controller goes by."""
+
+    # Violated invariants since the start of the process, by their texts.
+    violations: dict[str, int]
+    # Of the mirror: its revision, and how long ago it was known to be up to date.
+    mirror_revision: int
+    mirror_age_s: float
+    # How long the controller may still act without another renewal; negative if it may not.
+    lease_left_s: float
+    leader: str
+    jobs: int
+    machines: int
+
+
 class ForwardedRequest(msgspec.Struct):
     """A user's request, forwarded by a member that can't serve it to one that can."""
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -4,10 +4,16 @@
 
 from beamspar import invariants
 from beamspar.invariants import Invariant
+from beamspar.machines.machine_controller import MachineController
+from beamspar.machines.managed_machine import AttemptKey
 from beamspar.protocol.peer_messages import DesiredAction
+from beamspar.protocol.workers import StartCommand, StopCommand, TaskStatus
 from beamspar.workload.job import Job
 from tests.test_job_acceptor import make_controller
 from tests.test_job_controller import SPEC
+from tests.test_machine_controller import managing_one_machine
+
+KEY = AttemptKey("j-1/0", 1)
 
 
 def take_violations() -> dict[Invariant, int]:
@@ -49,3 +55,30 @@
     updates = controller.assignments._updates("rig-0", None)
     assert [d.action for u in updates for d in u.desired_attempts] == []
     assert take_violations() == {Invariant.RUN_FOR_JOB_IN_MEMORY: 1}
+
+
+def controller_with_a_running_task() -> MachineController:
+    controller = managing_one_machine()
+    machine = controller.machines["m-1"]
+    machine.has_confirmed_token = True
+    machine.tasks[KEY] = TaskStatus(*KEY, "running")
+    return controller
+
+
+def test_what_runs_on_after_its_cancellation_was_dropped_is_stopped_at_once() -> None:
+    controller = controller_with_a_running_task()
+    mirror, machine = controller.mirror, controller.machines["m-1"]
+    mirror.observe("c/w/j-1", {"t": 1}, 20)
+    mirror._apply("c/w/j-1", None, 21)
+    assert controller.planner.plan_stops_and_clears(machine) == [StopCommand(*KEY, 0.0)]
+    assert take_violations() == {Invariant.CANCELLATION_OUTLASTS_ATTEMPTS: 1}
+
+
+def test_a_start_that_is_not_permitted_does_not_leave() -> None:
+    controller = controller_with_a_running_task()
+    machine = controller.machines["m-1"]
+    machine.tasks.clear()
+    controller.mirror.observe("c/w/j-1", {"t": 1}, 20)
+    controller.sender.send_in_background(machine, [StartCommand(*KEY)])
+    assert machine.starts == {}
+    assert take_violations() == {Invariant.START_PERMITTED: 1}
