--- a/src/beamspar/leader/leader.py
+++ b/src/beamspar/leader/leader.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from typing import Any
 
@@ -60,22 +59,19 @@
         settings: Settings,
         timeouts: Timeouts,
         operator_settings: OperatorSettings,
-        rng: random.Random,
     ) -> None:
         self.clock = clock
         self.registration = registration
         self.mirror = registration.mirror
         self.instance_manager = instance_manager
         self.timeouts = timeouts
-        # Unused, as no decision of the leader is random; callers still pass it.
-        self.rng = rng
         # Decisions that are not in the state service's records, such as the map of cached
         # images. They are replicated to the followers.
         self.decision_log = instance_manager.decision_log
         self.leader_state = self.decision_log.state
         # Whether, after a failover, capacity is offered in zones that are already confirmed
         # while others are not.
-        self._offers_by_zone = False
+        self.offers_by_zone = False
         machine_types = instance_manager.types
         fleet_view = FleetView(clock, self.mirror, self.decision_log, machine_types, timeouts)
         self.fleet_view = fleet_view
@@ -178,7 +174,7 @@
         """
         only_zones = None
         if not self.is_ready:
-            only_zones = self.leadership.confirmed_zones() if self._offers_by_zone else set()
+            only_zones = self.leadership.confirmed_zones() if self.offers_by_zone else set()
             if not only_zones:
                 return CapacityOffers([])
         return CapacityOffers(self.capacity_allocator.offer(member, capacity_requests, only_zones))
@@ -243,15 +239,6 @@
     def on_ready(self, on_ready: Callable[[], None]) -> None:
         self.leadership.on_ready = on_ready
 
-    @property
-    def offers_by_zone(self) -> bool:
-        """Whether capacity is offered in confirmed zones while others are not confirmed."""
-        return self._offers_by_zone
-
-    @offers_by_zone.setter
-    def offers_by_zone(self, value: bool) -> None:
-        self._offers_by_zone = value
-
     @property
     def preference(self) -> Callable[[JobSpec], Preference]:
         """Callback that returns a job's tie-breaker among otherwise equal machines."""
--- a/src/beamspar/node/node.py
+++ b/src/beamspar/node/node.py
@@ -259,7 +259,6 @@
             self.settings,
             self.timeouts,
             self.operator_settings,
-            self.rng,
         )
 
     def _connect(self, actors: Actors) -> None:
--- a/src/beamspar/protocol/peer_messages.py
+++ b/src/beamspar/protocol/peer_messages.py
@@ -15,36 +15,6 @@
 
 from beamspar.protocol.machine_capacity import MachineCapacity
 
-# The prefix of the paths of all calls between controllers.
-PEER_PATH_PREFIX = "/peer/"
-
-
-class PeerPath(StrEnum):
-    """The paths of calls between controllers; each comment names the request and the response.
-
-    A call is a POST to `url_path`. The packages `sharing` and `standby` define further paths.
-    """
-
-    # A list of DesiredStateUpdate to a machine controller; AttemptStatusBatch.
-    DESIRED_STATE = "sync"
-    # An AttemptStatusBatch to a job controller; an empty object.
-    ATTEMPT_STATUSES = "statuses"
-    # A CapacityRequestBatch to the leader; CapacityOffers.
-    CAPACITY_REQUESTS = "asks"
-    # A MemberHeartbeat to the leader; HeartbeatResponse.
-    MEMBER_HEARTBEAT = "beat"
-    # An empty object; HealthProbeResponse.
-    HEALTH_PROBE = "pulse"
-    # A CancellationNotice; an empty object.
-    CANCELLATIONS = "withdrawn"
-    # A ForwardedRequest; ForwardedResponse.
-    FORWARDED_REQUEST = "relay"
-
-    @property
-    def url_path(self) -> str:
-        """The path of the URL of this call."""
-        return PEER_PATH_PREFIX + self.value
-
 
 class DesiredAction(StrEnum):
     """The action that a job controller desires for an attempt."""
--- a/src/beamspar/sharing/leave.py
+++ b/src/beamspar/sharing/leave.py
@@ -131,7 +131,7 @@
         return CommandReply(False, "the record keeps changing: try again")
 
     async def _store(self, entries: dict[str, int], undo: bool, others: set[str]) -> None:
-        _, version = self.mirror.values.get(keys.LEAVING_MEMBERS_KEY, (None, 0))
+        version = self.mirror.version(keys.LEAVING_MEMBERS_KEY)
         conditions = {keys.LEAVING_MEMBERS_KEY: version, **self.registration.fence_condition()}
         if undo:
             del entries[self.registration.own_name]
@@ -140,7 +140,7 @@
             # Ensures that one of the controllers that keep serving is registered when the write
             # is applied.
             key = keys.member_key(min(others))
-            conditions[key] = self.mirror.values.get(key, (None, 0))[1]
+            conditions[key] = self.mirror.version(key)
         revision = await self.state.transact(
             conditions, [put(keys.LEAVING_MEMBERS_KEY, entries)], RequestPriority.URGENT
         )
--- a/src/beamspar/standby/failover.py
+++ b/src/beamspar/standby/failover.py
@@ -104,7 +104,7 @@
         )
 
     def _leader_record(self) -> object:
-        return self._mirror.values.get(keys.LEADER_KEY, (None, 0))[0]
+        return self._mirror.value(keys.LEADER_KEY)
 
     def _confirm_members(self, except_for: str = "") -> None:
         """Request a full heartbeat from every live member.
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 import msgspec
@@ -55,7 +54,6 @@
     store: Any = recorder
     registration = Registration(clock, store, own_settings, timeouts)
     registration.mirror.observe(keys.LEADER_KEY, {"name": "rig-0", "inc": 0}, 5)
-    rng = random.Random(1)
     instance_manager = InstanceManager(clock, unused, registration, own_settings, timeouts, {})
     leader = Leader(
         clock,
@@ -65,7 +63,6 @@
         own_settings,
         timeouts,
         OperatorSettings(),
-        rng,
     )
     return leader, recorder
 
