--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -85,6 +85,8 @@
         world.state.late_keys = step.get("late_keys", "")
         world.state.late_count_left = step.get("late_left", -1)
         world.state.slow_s = step.get("slow_s", 0.0)
+        # Of transactions on jobs, such as accepts.
+        world.state.late_transaction_responses = {"job/": step.get("late_answer_s", 0.0)}
         world.state.refused_hosts = set(select_controllers(world, step.get("refuse", [])))
     elif do == "state":
         world.state.set_outage(step["down"])
