--- a/review/harness/state.py
+++ b/review/harness/state.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+import msgspec
+
 from review.harness.wire import Answer, Call
 
 KEPT_CHANGES = 10_000
@@ -134,7 +136,13 @@
         changes = body.get("apply") or []
         if len(changes) > self.txn_ops or len(body.get("if") or []) > 4 * self.txn_ops:
             return Answer(400, {"error": "too large"})
-        if any(change.get("permit", 0) not in (0, *self.leases) for change in changes):
+        largest = max(
+            (len(msgspec.json.encode(c["data"])) for c in changes if "put" in c), default=0
+        )
+        if largest > self.value_kb * 1024:
+            return Answer(400, {"error": "too large"})
+        permits = [change.get("permit") for change in changes]
+        if any(permit is not None and permit not in self.leases for permit in permits):
             return Answer(400, {"error": "no such lease"})
         failed = [
             condition["key"]
