--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -77,6 +77,8 @@
         # Commands by verb, and seconds by which each request with commands is held up.
         self.commands: dict[str, int] = {}
         self.order_delay_s = 0.0
+        # The last report that was sent, of which the network may deliver a copy later.
+        self.last_report: dict[str, Any] = {}
         # While set, the machine hangs: it neither reports nor executes anything.
         self.is_hung = False
 
@@ -114,6 +116,12 @@
                 self.lease_began = time.monotonic()
                 self.wake.set()
 
+    def fail(self, task: str) -> None:
+        """Let the attempts of a task that run on the machine end with an error."""
+        for key, state in list(self.tasks.items()):
+            if key[0] == task:
+                self._end(key, state, "error")
+
     def drop_tasks(self) -> None:
         """Kill and forget every task."""
         for (task, attempt), state in list(self.tasks.items()):
@@ -146,8 +154,9 @@
         while self.is_hung and not self.is_dead:
             await asyncio.sleep(0.05)
         sent_at, shift = time.monotonic(), self.shift
+        report = self.last_report = self.report()
         answer = await request(
-            "POST", self.nodes[self.target], "/v1/report", self.report(), RESPONSE_TIMEOUT_S
+            "POST", self.nodes[self.target], "/v1/report", report, RESPONSE_TIMEOUT_S
         )
         if answer is None:
             await self._try_next()
