Log and count heartbeats that may be late copies; an attempt's end names its fencing token

The logs as they were could not tell three causes apart: the holder believed a late copy of an earlier session's heartbeat; the job controller believed a status of a former holder; the worker itself reported the end. Now the holder logs each heartbeat whose fencing token is lower than its own, with epoch, sequence number and ended tasks, and counts them (POST /peer/metrics, unconfirmed_heartbeats); the job controller's line of an attempt's end names the token.

--- a/src/beamspar/jobs/attempt_statuses.py
+++ b/src/beamspar/jobs/attempt_statuses.py
@@ -144,10 +144,12 @@
 
     def _end_attempt(self, job: Job, index: int, task: Task, status: AttemptStatus) -> None:
         log.info(
-            "{task} attempt {attempt} on {machine} is over: {state} {reason}",
+            "{task} attempt {attempt} on {machine} is over under fencing token {token}: "
+            "{state} {reason}",
             task=status.task,
             attempt=status.attempt,
             machine=status.machine,
+            token=status.fencing_token,
             state=status.state,
             reason=status.exit_reason or "",
         )
--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -14,7 +14,7 @@
 from beamspar.machines.image_caches import ImageCaches
 from beamspar.machines.managed_machine import AttemptKey, HeartbeatId, ManagedMachine
 from beamspar.protocol.peer_messages import AttemptState
-from beamspar.protocol.workers import TaskStatus, WorkerHeartbeat
+from beamspar.protocol.workers import TaskState, TaskStatus, WorkerHeartbeat
 from beamspar.transport.clock import Clock
 
 log = Logger(namespace="machines")
@@ -35,6 +35,8 @@
         self.image_caches = image_caches
         # Called when an attempt has ended, because that may have freed capacity.
         self.on_capacity_freed = on_capacity_freed
+        # The number of heartbeats whose worker had not seen the machine's fencing token yet.
+        self.unconfirmed_heartbeats = 0
 
     def accept_heartbeat(self, machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> bool:
         """Process a heartbeat that a worker sent; return False if it must not be answered."""
@@ -72,6 +74,9 @@
         if (heartbeat.agent_epoch, heartbeat.seq) <= (machine.agent_epoch, machine.observed_seq):
             return
         now = self.clock.seconds()
+        if heartbeat.observed_fencing_token < machine.fencing_token:
+            self.unconfirmed_heartbeats += 1
+            _log_unconfirmed(machine, heartbeat)
         if heartbeat.agent_epoch > machine.agent_epoch:
             self._begin_agent_epoch(machine, heartbeat.agent_epoch)
         machine.agent_epoch, machine.observed_seq = heartbeat.agent_epoch, heartbeat.seq
@@ -162,6 +167,20 @@
             )
 
 
+def _log_unconfirmed(machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> None:
+    log.info(
+        "{machine}: heartbeat {seq} of agent epoch {epoch} has fencing token {token}, lower than "
+        "{own_token}, so it may be a late copy; it lists {tasks} tasks, {ended} of them ended",
+        machine=machine.info.name,
+        seq=heartbeat.seq,
+        epoch=heartbeat.agent_epoch,
+        token=heartbeat.observed_fencing_token,
+        own_token=machine.fencing_token,
+        tasks=len(heartbeat.tasks),
+        ended=sum(task.status == TaskState.ENDED for task in heartbeat.tasks),
+    )
+
+
 def _observe_token_and_notice(machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> bool:
     """Update the confirmation of the command token and the machine's termination notice.
 
--- a/src/beamspar/node/peer_dispatch.py
+++ b/src/beamspar/node/peer_dispatch.py
@@ -75,6 +75,7 @@
             leader=mirror.leader or "",
             jobs=len(actors.job_controller.jobs),
             machines=len(actors.machine_controller.machines),
+            unconfirmed_heartbeats=actors.machine_controller.observer.unconfirmed_heartbeats,
         )
     )
 
--- a/src/beamspar/protocol/peer_messages.py
+++ b/src/beamspar/protocol/peer_messages.py
@@ -250,6 +250,8 @@
     leader: str
     jobs: int
     machines: int
+    # Heartbeats of this registration whose worker had not seen its machine's fencing token yet.
+    unconfirmed_heartbeats: int = 0
 
 
 class ForwardedRequest(msgspec.Struct):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -23,6 +23,7 @@
     assert {m["leader"] for m in metrics} == {world.leader()}
     assert [m["jobs"] for m in metrics] == [0, 1, 0]
     assert sum(m["machines"] for m in metrics) == len(world.cloud.workers)
+    assert sum(m["unconfirmed_heartbeats"] for m in metrics) >= len(world.cloud.workers)
     for m in metrics:
         assert m["mirror_revision"] > 0 and 0 <= m["mirror_age_s"] < 3
         assert 0 < m["lease_left_s"] < world.nodes["rig-0"].timeouts.registration_lease_s
