An attempt's status counts only from a heartbeat that has the holder's fencing token

Attempt 1 ran in the worker's second session; the next attempt was started elsewhere beside it, and both ran on.

Cause: a holder that has just got a machine took whatever heartbeat came first for the newest and published what it listed. A late copy from before its fencing token may be of an earlier agent epoch. There the attempt had ended; since then the worker had lost its lease and an earlier holder had started the same attempt again. Only an absence waited for the worker to confirm the token, an end did not.

Fix: until a heartbeat shows that its worker has seen the machine's fencing token, the holder publishes no status of an attempt from it, blames no machine for a failure in it and records no use of an image. The first such heartbeat is compared with nothing before it, so all that it lists counts as new. Stops still go with every answer, as before.

Why it works: a worker that has seen the token executes nothing of earlier holders, so an attempt that it lists as ended in that epoch can run anew only by a start of this holder. A copy from before carries a lower token. Heartbeats are ordered, so nothing older follows.

--- a/src/beamspar/machines/managed_machine.py
+++ b/src/beamspar/machines/managed_machine.py
@@ -93,6 +93,9 @@
     # Whether the worker has confirmed the command token. If so, it executes no command with
     # a lower token.
     has_confirmed_token: bool = False
+    # Whether the worker sent the newest message after it had seen the fencing token. Until then,
+    # the tasks below may be from a late copy: the worker may have begun another agent epoch since.
+    is_observation_current: bool = False
     # The agent epoch and sequence number of the newest message of the worker, either a heartbeat or
     # the reply to commands.
     agent_epoch: int = 0
--- a/src/beamspar/machines/status_publishing.py
+++ b/src/beamspar/machines/status_publishing.py
@@ -20,6 +20,8 @@
     terminated = machine.terminated.get(key)
     if terminated is not None:
         return ObservedStatus(terminated, None)
+    if not machine.is_observation_current:
+        return None
     task = machine.tasks.get(key)
     if task is None:
         return None
--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -82,13 +82,16 @@
         machine.agent_epoch, machine.observed_seq = heartbeat.agent_epoch, heartbeat.seq
         machine.is_expired = False
         is_token_or_notice_changed = _observe_token_and_notice(machine, heartbeat)
+        if heartbeat.observed_fencing_token >= machine.fencing_token:
+            _confirm_observation(machine)
         changed, absent = _observe_tasks(machine, heartbeat.tasks)
         if is_token_or_notice_changed:
             machine.mark_all_changed()
         if changed or absent:
             machine.mark_changed(*absent, *changed)
-        for key, task in changed.items():
-            self._handle_status_change(machine, key, task)
+        if machine.is_observation_current:
+            for key, task in changed.items():
+                self._handle_status_change(machine, key, task)
         if any(task.status != "ended" for task in machine.tasks.values()):
             machine.idle_since = now
 
@@ -198,6 +201,14 @@
     return had_confirmed != machine.has_confirmed_token or had_notice != has_notice
 
 
+def _confirm_observation(machine: ManagedMachine) -> None:
+    """Discard tasks that may be from a late copy, so that all those reported count as changed."""
+    if not machine.is_observation_current:
+        machine.is_observation_current = True
+        machine.mark_changed(*machine.tasks)
+        machine.tasks = {}
+
+
 def _observe_tasks(
     machine: ManagedMachine, reported: list[TaskStatus]
 ) -> tuple[dict[AttemptKey, TaskStatus], list[AttemptKey]]:
--- /dev/null
+++ b/tests/test_late_heartbeat_copies.py
@@ -0,0 +1,109 @@
+"""Late copies of workers' heartbeats reach a holder before anything newer of that worker does.
+
+Guards against ends of attempts that are taken from a heartbeat that is older than the holder's
+fencing token: the worker may have begun another agent epoch since, in which the attempt runs.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from beamspar.protocol.peer_messages import AttemptStatus, DesiredAction
+from beamspar.protocol.workers import TaskStatus, WorkerHeartbeat
+from tests.standins.workers import Worker
+from tests.standins.world import World
+from tests.test_machine_controller import managing_one_machine, update
+
+JOB, TASK = "j-1", ("j-1/0", 1)
+HOLDER, OWNER = "rig-1", "rig-0"
+ZONE = "west"
+
+
+def world_with_a_running_task(**fields: Any) -> tuple[World, Worker]:
+    """Return a world in which one controller owns a job and another holds its task's machine."""
+    world = World(machines=[{"kind": "small", "zone": ZONE, "count": 3}], **fields.pop("world", {}))
+    world.run(8)
+    world.submit(JOB, OWNER, yard=ZONE, **fields)
+    world.run(12)
+    (machine,) = world.machines_of(JOB)
+    worker = world.cloud.workers[machine]
+    return world, worker
+
+
+def holder_of(world: World, machine: str) -> str:
+    """Return the machine's holder by the stored records."""
+    return next(
+        str(item[0]["holder"])
+        for key, item in world.state.items.items()
+        if key.startswith("c/block/") and machine in [m["name"] for m in item[0]["machines"]]
+    )
+
+
+def end_unheard(world: World, worker: Worker, reason: str) -> bytes:
+    """Let the task end while its job's controller is down; return the heartbeat that tells it."""
+    world.crash(OWNER, None)
+    worker.finish(TASK, worker.tasks[TASK], reason)
+    world.run(world.clock.seconds() + 1.5)
+    return worker.sent_heartbeats[-1]
+
+
+def run_anew_in_another_epoch(world: World, worker: Worker) -> None:
+    """Keep all controllers away for longer than the worker's lease; the task then runs anew."""
+    for name in world.names:
+        world.crash(name, None)
+    world.run(world.clock.seconds() + world.worker_settings["lease_s"] + 3)
+    assert worker.agent_epoch == 2
+    for name in world.names:
+        world.boot(name)
+    world.run(world.clock.seconds() + 12)
+    assert worker.tasks[TASK]["status"] != "ended", "the attempt runs anew"
+
+
+def restart_holder_with_copy(world: World, worker: Worker, copy: bytes) -> None:
+    """Restart the machine's holder; the copy reaches it first, and its commands don't arrive."""
+    holder = holder_of(world, worker.name)
+    world.network.blocked_pairs.update({(holder, worker.name), (worker.name, holder)})
+    world.crash(holder, 0.2)
+    answers: list[tuple[int, Any]] = []
+    while not any(status == 200 for status, _ in answers):
+        world.call(holder, "POST", "/v1/report", copy).addCallback(answers.append)
+        world.run(world.clock.seconds() + 0.05)
+    world.network.blocked_pairs.remove((worker.name, holder))
+    world.run(world.clock.seconds() + 6)
+
+
+@pytest.mark.parametrize("shape", ["standing", "sweep"])
+@pytest.mark.parametrize("reason", ["error", "stopped"])
+def test_an_end_in_an_earlier_epoch_does_not_end_the_attempt_that_runs_anew(
+    shape: str, reason: str
+) -> None:
+    """Guards against ran_twice: a late copy ended the attempt, and the next one ran beside it."""
+    world, worker = world_with_a_running_task(shape=shape, run_s=900.0)
+    copy = end_unheard(world, worker, reason)
+    run_anew_in_another_epoch(world, worker)
+    restart_holder_with_copy(world, worker, copy)
+    assert world.checker.broken == []
+    assert world.checker.start_counts[JOB] == 2 and world.running(JOB) == 1
+
+
+def heartbeat(epoch: int, token: int, status: str, reason: str | None = None) -> WorkerHeartbeat:
+    tasks = [TaskStatus(*TASK, status, reason)]
+    return WorkerHeartbeat("m-1", "m-1:9", "small", "east", epoch, 5, token, tasks)
+
+
+@pytest.mark.parametrize("status", ["fetching", "running", "saving", "ended"])
+def test_no_status_is_reported_until_a_heartbeat_has_the_fencing_token(status: str) -> None:
+    """Guards against an attempt's job controller being told what was true before the holder."""
+    controller = managing_one_machine()
+    told: list[AttemptStatus] = []
+    controller.push_statuses = lambda owner, statuses: told.extend(statuses)
+    controller.apply_desired_state(update("rig-0.1", DesiredAction.RUN, 1))
+    reply = controller.handle_heartbeat(heartbeat(1, 3, status, "error"))
+    assert reply is not None and reply.fencing_token == 7, "the worker learns of the token"
+    assert controller.apply_desired_state(update("rig-0.1", DesiredAction.RUN, 2)) == []
+    assert told == [] and controller.machines["m-1"].quarantined_until == 0
+    controller.handle_heartbeat(heartbeat(2, 7, status, "error"))
+    assert [(s.state, s.attempt) for s in told] == [(status, 1)]
+    assert (controller.machines["m-1"].quarantined_until > 0) == (status == "ended")
