--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -66,12 +66,7 @@
 
     def observe(self, machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> None:
         """Update the machine's state if this heartbeat is newer than the known state."""
-        if (
-            heartbeat.agent_epoch < machine.min_agent_epoch
-            or heartbeat.machine != machine.info.name
-        ):
-            return
-        if (heartbeat.agent_epoch, heartbeat.seq) <= (machine.agent_epoch, machine.observed_seq):
+        if not _is_newer(machine, heartbeat):
             return
         now = self.clock.seconds()
         if heartbeat.observed_fencing_token < machine.fencing_token:
@@ -170,6 +165,15 @@
             )
 
 
+def _is_newer(machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> bool:
+    """Return whether the heartbeat is this machine's and newer than the known state."""
+    return (
+        heartbeat.machine == machine.info.name
+        and heartbeat.agent_epoch >= machine.min_agent_epoch
+        and (heartbeat.agent_epoch, heartbeat.seq) > (machine.agent_epoch, machine.observed_seq)
+    )
+
+
 def _log_unconfirmed(machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> None:
     log.info(
         "{machine}: heartbeat {seq} of agent epoch {epoch} has fencing token {token}, lower than "
