What a worker had under the holder's fencing token is gone in its next agent epoch

What callers would see: a task runs on two machines. A status of an attempt that has ended is held back between two controllers; meanwhile the worker loses its lease and begins another agent epoch, and its holder starts the same attempt there anew. The status then arrives, under the fencing token that is still the present one, and the next attempt is started elsewhere beside the first.

A holder declared only those attempts gone with an epoch whose start it had sent itself. One that it had seen on the worker, started by an earlier holder or by its own earlier process, it started again under the token under which it had reported the end.

Fix: what the holder has seen on the worker under its fencing token is gone once a heartbeat of a later epoch arrives, as the worker has killed and forgotten it. Gone is final under a token, so a late status of it is true whenever it arrives. Attempts seen only in heartbeats without the token are started again as before, as nothing was reported of them.

--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -118,11 +118,17 @@
                 # commands of an earlier epoch.
                 del machine.starts[key]
                 machine.terminated[key] = AttemptState.GONE
+        if machine.is_observation_current:
+            # A status of theirs under this fencing token may still be on its way to their job
+            # controller, so they must not be started again under it.
+            for key in machine.tasks:
+                if key not in machine.terminated:
+                    machine.terminate(key, AttemptState.GONE)
         machine.mark_all_changed()
         if machine.agent_epoch:
             log.info(
                 "{machine}: the worker has begun agent epoch {epoch}, "
-                "attempts whose start was sent in an earlier epoch are gone",
+                "attempts of earlier epochs are gone",
                 machine=machine.info.name,
                 epoch=agent_epoch,
             )
--- a/tests/test_late_heartbeat_copies.py
+++ b/tests/test_late_heartbeat_copies.py
@@ -8,12 +8,14 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from beamspar.protocol.peer_messages import AttemptStatus, DesiredAction
 from beamspar.protocol.workers import TaskStatus, WorkerHeartbeat
 from tests.standins.workers import Worker
-from tests.standins.world import World
+from tests.standins.world import ZONES, World
+from tests.test_command_planning import SMALL
 from tests.test_machine_controller import managing_one_machine, update
 
 JOB, TASK = "j-1", ("j-1/0", 1)
@@ -107,3 +109,48 @@
     controller.handle_heartbeat(heartbeat(2, 7, status, "error"))
     assert [(s.state, s.attempt) for s in told] == [(status, 1)]
     assert (controller.machines["m-1"].quarantined_until > 0) == (status == "ended")
+
+
+def test_a_held_back_status_of_an_earlier_epoch_does_not_end_the_attempt_that_runs_anew() -> None:
+    """Guards against ran_twice: a status arrives after its holder has started the attempt anew."""
+    machines = [{"kind": "small", "zone": zone, "count": 3} for zone in ZONES]
+    world = World(machines=machines)
+    world.run(8)
+    holder, owner = [name for name in world.names if name != world.leader()]
+    zone = ZONES[world.names.index(holder)]
+    world.submit(JOB, owner, yard=zone)
+    world.run(12)
+    (machine,) = world.machines_of(JOB)
+    worker = world.cloud.workers[machine]
+    # Its next process has sent no start of this attempt.
+    world.crash(holder, 0.2)
+    world.run(18)
+    assert holder_of(world, machine) == holder
+    world.network.cut(holder, owner, "hold", both=False)
+    worker.finish(TASK, worker.tasks[TASK], "error")
+    # By the time that the worker's lease expires, the machine is no longer quarantined.
+    world.run(30)
+    world.network.cut(holder, machine, "drop", both=False)
+    world.run(30 + world.worker_settings["lease_s"] + 6)
+    assert worker.agent_epoch == 2 and holder_of(world, machine) == holder
+    world.network.heal(holder, machine)
+    world.run(world.clock.seconds() + 8)
+    # The machine doesn't hear that it is to stop the attempt.
+    world.network.cut(holder, machine, "drop", both=False)
+    world.network.heal(holder, owner)
+    world.run(world.clock.seconds() + 10)
+    assert world.checker.broken == []
+
+
+def test_what_a_worker_had_under_the_fencing_token_is_gone_in_its_next_epoch() -> None:
+    """Guards against an attempt that ended under a token being started again under that token."""
+    controller = managing_one_machine()
+    controller.summaries.types = lambda: {"small": SMALL}
+    told: list[AttemptStatus] = []
+    controller.push_statuses = lambda owner, statuses: told.extend(statuses)
+    controller.apply_desired_state(update("rig-0.1", DesiredAction.RUN, 1))
+    controller.handle_heartbeat(heartbeat(1, 7, "ended", "no_room"))
+    next_epoch = msgspec.structs.replace(heartbeat(2, 7, "ended"), tasks=[])
+    controller.handle_heartbeat(next_epoch)
+    assert [s.state for s in told] == ["ended", "gone"]
+    assert controller.machines["m-1"].starts == {}
