An attempt that is over by its job's record and still runs is stopped at once

The job controller had stored the end of attempt 1 and desired its clear.

Fix: a desired clear of an attempt that is not ended stops it, without time to save. A clear is sent only once the end is stored, and an attempt number is never bound again, so no such attempt may run. It bounds what any unsound end costs to the next answer or command.

--- a/src/beamspar/machines/command_planning.py
+++ b/src/beamspar/machines/command_planning.py
@@ -77,6 +77,9 @@
         if key in machine.orphaned:
             return 0.0
         desired = machine.desired_attempts.get(key)
+        if desired is not None and desired.action == DesiredAction.CLEAR:
+            # Its end is stored, so its task may already run elsewhere.
+            return 0.0
         if desired is not None and desired.action == DesiredAction.STOP:
             return stop_grace_s(desired, self.timeouts.gang_peer_s)
         if key in machine.preempted:
--- a/tests/test_command_planning.py
+++ b/tests/test_command_planning.py
@@ -149,6 +149,14 @@
     assert command_planner.plan_stops_and_clears(host) == [ClearCommand(*KEY)]
 
 
+@pytest.mark.parametrize("status", ["fetching", "running", "saving"])
+def test_an_attempt_that_is_over_by_its_record_and_runs_is_stopped_at_once(status: str) -> None:
+    """Guards against an attempt that runs on beside the next one until its clear expires."""
+    command_planner, host = planner(), machine(desired_attempt(KEY, DesiredAction.CLEAR))
+    host.tasks[KEY] = TaskStatus(*KEY, status)
+    assert command_planner.plan_stops_and_clears(host) == [StopCommand(*KEY, 0.0)]
+
+
 def test_a_cancelled_job_is_stopped_without_a_grace_period() -> None:
     command_planner = planner()
     host = machine(desired_attempt(KEY, DesiredAction.RUN, saves_checkpoint=True, save_s=4.0))
