--- a/tests/test_late_heartbeat_copies.py
+++ b/tests/test_late_heartbeat_copies.py
@@ -63,11 +63,13 @@
     assert worker.tasks[TASK]["status"] != "ended", "the attempt runs anew"
 
 
-def restart_holder_with_copy(world: World, worker: Worker, copy: bytes) -> None:
+def restart_holder_with_copy(
+    world: World, worker: Worker, copy: bytes, back_s: float = 0.2
+) -> None:
     """Restart the machine's holder; the copy reaches it first, and its commands don't arrive."""
     holder = holder_of(world, worker.name)
     world.network.blocked_pairs.update({(holder, worker.name), (worker.name, holder)})
-    world.crash(holder, 0.2)
+    world.crash(holder, back_s)
     answers: list[tuple[int, Any]] = []
     while not any(status == 200 for status, _ in answers):
         world.call(holder, "POST", "/v1/report", copy).addCallback(answers.append)
@@ -90,6 +92,18 @@
     assert world.checker.start_counts[JOB] == 2 and world.running(JOB) == 1
 
 
+def test_an_end_in_an_earlier_epoch_does_not_end_a_cancelled_job() -> None:
+    """Guards against ran_cancelled: the mark was dropped while the attempt ran on unstopped."""
+    world, worker = world_with_a_running_task()
+    copy = end_unheard(world, worker, "error")
+    run_anew_in_another_epoch(world, worker)
+    world.clock.callLater(0.5, world.cancel, JOB, OWNER)
+    restart_holder_with_copy(world, worker, copy, back_s=2.0)
+    world.run(world.clock.seconds() + world.worker_settings["cancel_s"] + 5)
+    assert world.checker.broken == []
+    assert world.status(JOB) == "withdrawn" and world.machines_of(JOB) == set()
+
+
 def heartbeat(epoch: int, token: int, status: str, reason: str | None = None) -> WorkerHeartbeat:
     tasks = [TaskStatus(*TASK, status, reason)]
     return WorkerHeartbeat("m-1", "m-1:9", "small", "east", epoch, 5, token, tasks)
