--- a/tests/test_late_heartbeat_copies.py
+++ b/tests/test_late_heartbeat_copies.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import msgspec
@@ -183,3 +184,56 @@
     controller.handle_heartbeat(next_epoch)
     assert [s.state for s in told] == ["ended", "gone"]
     assert controller.machines["m-1"].starts == {}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_random_restarts_and_late_copies_break_no_rule(seed: int) -> None:
+    """Guards against any effect of copies that arrive first, whatever they list."""
+    rng = random.Random(seed)
+    machines = [{"kind": "small", "zone": zone, "count": 3} for zone in ZONES]
+    world = World(seed, machines=machines)
+    world.run(8)
+    for number in range(3):
+        world.submit(f"j-{number}", shape="standing", parcels=3)
+        world.submit(f"j-{number + 10}", shape="sweep", parcels=3, run_s=rng.choice([30.0, 900.0]))
+    for _ in range(4):
+        world.run(world.clock.seconds() + rng.uniform(8.0, 15.0))
+        end_controllers_one_by_one(world, rng)
+        world.run(world.clock.seconds() + rng.uniform(12.0, 20.0))
+        world.cancel(f"j-{rng.choice([0, 10]) + rng.randrange(3)}")
+        for name in rng.sample(world.names, len(world.names)):
+            restart_before_copies(world, rng, name)
+            world.run(world.clock.seconds() + 12.0)
+    world.run(world.clock.seconds() + 60)
+    assert world.checker.broken == []
+
+
+def end_controllers_one_by_one(world: World, rng: random.Random) -> None:
+    """Keep all controllers away for longer than a worker's lease; tasks fail as they end."""
+    away_s = world.worker_settings["lease_s"] + 6.0
+    for number, name in enumerate(rng.sample(world.names, len(world.names))):
+        # The last ones hear of ends that they can tell nobody.
+        world.clock.callLater(1.5 * number, world.crash, name, away_s)
+    for worker in world.cloud.workers.values():
+        world.clock.callLater(3.0 * rng.random(), fail_some_tasks, worker, rng)
+    world.run(world.clock.seconds() + away_s + 3.0)
+
+
+def fail_some_tasks(worker: Worker, rng: random.Random) -> None:
+    for key, task in list(worker.tasks.items()):
+        if task["status"] == "running" and rng.random() < 0.4:
+            worker.finish(key, task, "error")
+
+
+def restart_before_copies(world: World, rng: random.Random, name: str) -> None:
+    """Restart a controller, which gets old heartbeats first; some commands of it come later."""
+    for worker in world.cloud.workers.values():
+        if rng.random() < 0.7:
+            world.network.blocked_pairs.add((name, worker.name))
+        copies = [body for body in worker.sent_heartbeats[-80:] if b"error" in body]
+        if copies:
+            copy = rng.choice(copies)
+            for number in range(60):
+                world.clock.callLater(0.05 * number, world.call, name, "POST", "/v1/report", copy)
+    world.crash(name, 0.2)
+    world.clock.callLater(8.0, world.network.blocked_pairs.clear)
