Offers carry their machine's zone and are checked as they are used

Cause: a job controller took its tasks' zones from its own mirror. While the state service refuses it alone the mirror stands still, but the leader goes on offering it machines that were leased meanwhile. Tasks bound there counted under an empty zone, so the next request made the leader offer the same zone again, and nothing checked an offer as it was used.

Fix: an offer tells its machine's zone (a field at the end of PlacementOffer); it never changes, so it is true however old the mirror is. An offer to a job with a constraint on zones is used only if its zone is known and allowed beside the job's tasks of that moment. Tasks in an unknown zone count in every zone, at the leader as well, which also covers requests and offers of controllers of an older release.

--- a/src/beamspar/jobs/job_controller.py
+++ b/src/beamspar/jobs/job_controller.py
@@ -21,6 +21,7 @@
 from beamspar.jobs.job_writer import JobWriter
 from beamspar.jobs.placer import Placer
 from beamspar.jobs.quota_stops import QuotaStops
+from beamspar.placement import UNKNOWN_ZONE
 from beamspar.protocol.jobs import JobSpec
 from beamspar.protocol.peer_messages import AttemptStatus
 from beamspar.quota.quota_manager import QuotaManager
@@ -119,8 +120,12 @@
             self.assignments.shard_changed(machine.name)
 
     def zone_of(self, machine: str) -> str:
-        """Return the machine's zone, or an empty string if it was never in a shard."""
-        return self.zones.get(machine, "")
+        """Return the machine's zone, or `UNKNOWN_ZONE` if this controller never heard of it."""
+        return self.zones.get(machine, UNKNOWN_ZONE)
+
+    def observe_zone(self, machine: str, zone: str) -> None:
+        """Record the zone of a machine that the mirror may lack still; it never changes."""
+        self.zones.setdefault(machine, zone)
 
     # -- adding and removing jobs
 
--- a/src/beamspar/jobs/placer.py
+++ b/src/beamspar/jobs/placer.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred
+from twisted.logger import Logger
 
 from beamspar.cluster.registration import Registration
 from beamspar.jobs.assignments import Assignments
@@ -25,7 +26,13 @@
     tasks_per_round,
 )
 from beamspar.jobs.task_binder import TaskBinder
-from beamspar.placement import Preference, choose_group, choose_machine
+from beamspar.placement import (
+    UNKNOWN_ZONE,
+    Preference,
+    choose_group,
+    choose_machine,
+    is_zone_allowed,
+)
 from beamspar.protocol.jobs import LOWEST_RANK, JobSpec
 from beamspar.protocol.machine_capacity import MachineCapacity
 from beamspar.protocol.peer_messages import CapacityRequest, PlacementOffer
@@ -34,6 +41,8 @@
 from beamspar.transport.clock import Clock, run_in_background
 from beamspar.workload.job import Job
 
+log = Logger(namespace="jobs")
+
 # Minimum interval between the starts of two placement rounds, as a share of a heartbeat.
 ROUND_INTERVAL_HEARTBEATS = 0.1
 # The processor counts as busy if timers fire later than this share of a heartbeat.
@@ -51,7 +60,10 @@
     quota_manager: QuotaManager | None
 
     def zone_of(self, machine: str) -> str:
-        """Return the machine's zone."""
+        """Return the machine's zone, or `UNKNOWN_ZONE`."""
+
+    def observe_zone(self, machine: str, zone: str) -> None:
+        """Record a machine's zone."""
 
 
 class LocalCapacities(NamedTuple):
@@ -235,6 +247,9 @@
 
     def _bind_offers(self, jobs: list[Job], offers: list[PlacementOffer], now: float) -> None:
         """Bind tasks to the machines that the leader offers."""
+        for offer in offers:
+            if offer.zone != UNKNOWN_ZONE:
+                self.job_store.observe_zone(offer.machine, offer.zone)
         by_id = {job.id: job for job in jobs}
         group_job_ids = {job.id for job in jobs if is_placed_together(job)}
         for job_id, places in group_places(offers, group_job_ids).items():
@@ -245,9 +260,29 @@
                 continue
             offered = by_id.get(offer.job)
             indexes = offered.placeable_indexes(now, 1) if offered else []
-            if offered and indexes:
+            if offered and indexes and self._is_zone_allowed(offered, offer.machine):
                 self.binder.bind_if_covered(offered, indexes[0], offer.machine, offer.may_preempt)
 
+    def _is_zone_allowed(self, job: Job, machine: str) -> bool:
+        """Return whether one more task of the job may be on the machine beside its tasks now.
+
+        The leader chose the machine by the tasks of the time of the request.
+        """
+        if not (job.spec.one_zone or job.spec.spread):
+            return True
+        zone = self.job_store.zone_of(machine)
+        zones, _ = job.task_counts_by_location(self.job_store.zone_of)
+        if zone != UNKNOWN_ZONE and is_zone_allowed(job.spec, zone, zones):
+            return True
+        log.info(
+            "{job}: not using the offer of {machine} in zone '{zone}', as its tasks are in {zones}",
+            job=job.id,
+            machine=machine,
+            zone=zone,
+            zones=zones,
+        )
+        return False
+
     # -- placement on local machines
 
     def _place_locally(
--- a/src/beamspar/leader/capacity_offers.py
+++ b/src/beamspar/leader/capacity_offers.py
@@ -149,7 +149,7 @@
         if preempt:
             # The preemptible tasks on this machine are now reserved for this task.
             capacity.preemptible = []
-        return PlacementOffer(spec.id, capacity.name, preempt)
+        return PlacementOffer(spec.id, capacity.name, preempt, capacity.zone)
 
 
 def choose_free_capacity(
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -16,6 +16,8 @@
 from beamspar.protocol.jobs import JobSpec
 from beamspar.protocol.machine_capacity import MachineCapacity
 
+# The zone of tasks on machines that a job controller has never heard of.
+UNKNOWN_ZONE = ""
 # Resource amounts are sums of floating-point numbers; smaller differences are rounding errors.
 RESOURCE_TOLERANCE = 1e-6
 # Fetching an image at the machine type's nominal rate may take at most this share of the time
@@ -70,9 +72,20 @@
         return False
     if spec.zone is not None and capacity.zone != spec.zone:
         return False
-    if spec.one_zone and any(count and zone != capacity.zone for zone, count in zones.items()):
+    if not (spec.one_zone or spec.spread):
+        return True
+    return is_zone_allowed(spec, capacity.zone, zones)
+
+
+def is_zone_allowed(spec: JobSpec, zone: str, zones: Mapping[str, int]) -> bool:
+    """Return whether the job may have one more task in the zone beside those counted in `zones`.
+
+    Tasks in an unknown zone may be in any.
+    """
+    if spec.one_zone and any(count and other != zone for other, count in zones.items()):
         return False
-    return not spec.spread or zones.get(capacity.zone, 0) < (spec.tasks + 1) // 2
+    in_zone = zones.get(zone, 0) + zones.get(UNKNOWN_ZONE, 0)
+    return not spec.spread or in_zone < (spec.tasks + 1) // 2
 
 
 def has_capacity(spec: JobSpec, capacity: MachineCapacity) -> bool:
--- a/src/beamspar/protocol/peer_messages.py
+++ b/src/beamspar/protocol/peer_messages.py
@@ -140,6 +140,8 @@
     job: str
     machine: str
     may_preempt: bool = False
+    # The machine's zone, which the receiver may lack; empty if the sender's release tells none.
+    zone: str = ""
 
 
 class CapacityOffers(msgspec.Struct):
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -277,7 +277,7 @@
         "rig-1", [messages.CapacityRequest({}, 1, {}, {}, [])]
     ),
     "offer-of-room": lambda: messages.CapacityOffers(
-        [messages.PlacementOffer("j-1", "host-7", True)]
+        [messages.PlacementOffer("j-1", "host-7", True, "b")]
     ),
     "offer-of-room-least": lambda: messages.CapacityOffers(
         [messages.PlacementOffer("j-1", "host-7")]
