A burst of cancellations no longer leaves all other requests unserved

Cause: cancellations were sent at once at any rate and took tokens all the same, without a lower bound, and each refused one paid up to five times more. The bucket of changes ended a thousand tokens below zero. Until it was refilled nothing else was sent, reads neither, which need no changes: the queue was one line and its head waited.

Fix: cancellations have a priority of their own; they go ahead of their tokens by one second's worth at most and then wait for tokens, and what urgent requests owe is bounded by the same second. Reads pass transactions that wait for tokens of changes; the queue's timer is set anew when something may go earlier.

In test_request_queue 'queued_requests(ACCEPT) == 4' became 'queued_reads(ACCEPT) == 2' beside 'queued_changes() == 2': the method now counts what delays a poll, and the same four requests are still told apart.

--- a/src/beamspar/node/responses.py
+++ b/src/beamspar/node/responses.py
@@ -8,6 +8,9 @@
 from beamspar.protocol.codec import pack
 from beamspar.transport.http import HttpResponse
 
+# The status of a response that says that there is no such job.
+NOT_FOUND = 404
+
 
 def respond(status: int, data: Any = None, retry_s: int = 0) -> HttpResponse:
     """Return a response with a MessagePack body, and a retry-after header if `retry_s` is set."""
@@ -27,4 +30,4 @@
 
 def no_such_job() -> HttpResponse:
     """Return the response for a job ID that does not exist."""
-    return error(404, "no such job")
+    return error(NOT_FOUND, "no such job")
--- a/src/beamspar/state/client.py
+++ b/src/beamspar/state/client.py
@@ -94,7 +94,7 @@
 
     def polls_backlog_s(self) -> float:
         """Return the estimated queueing delay of a user's poll, in seconds."""
-        ahead = self._queue.queued_requests(RequestPriority.ACCEPT)
+        ahead = self._queue.queued_reads(RequestPriority.ACCEPT)
         return ahead / self.request_limiter.rate
 
     def backlog_s(self) -> float:
@@ -233,9 +233,13 @@
         changes: list[Change],
         priority: RequestPriority = RequestPriority.PLACEMENT,
         weight: float = 0.0,
+        is_obsolete: Callable[[], bool] = lambda: False,
     ) -> int:
         """Apply all changes if all conditions hold (compare-and-set); return the new revision.
 
+        `is_obsolete` is called immediately before the request is sent, and returns whether a
+        condition is known not to hold any more; then nothing is sent.
+
         `conditions` are the versions that keys must have, 0 for keys that must not exist. Raises
         ConflictError if a condition does not hold, LeaseExpiredError if a change is made under an
         expired lease, TooLargeError if a value or the transaction exceeds a size limit, and
@@ -246,7 +250,9 @@
         }
         if changes:
             body["apply"] = changes
-        status, data = await self._send_transaction(body, len(changes), priority, weight)
+        status, data = await self._send_transaction(
+            body, len(changes), priority, weight, is_obsolete
+        )
         if status == 409:
             failed = data.get("failed")
             raise ConflictError([k for k in failed if isinstance(k, str)] if failed else [])
@@ -262,12 +268,20 @@
         return revision
 
     async def _send_transaction(
-        self, body: dict[str, Any], changes: int, priority: RequestPriority, weight: float
+        self,
+        body: dict[str, Any],
+        changes: int,
+        priority: RequestPriority,
+        weight: float,
+        is_obsolete: Callable[[], bool],
     ) -> tuple[int, dict[str, Any]]:
         """Send a transaction; send it again if the service refuses it because of its rate."""
         retries = 0
         while True:
             await self._queue.admit(priority, changes, weight)
+            if is_obsolete():
+                self.change_limiter.refund(changes)
+                raise ConflictError([])
             try:
                 return await self._call("POST", "/multi", body, self._timeout_s, changes > 0)
             except RateLimitedError:
--- a/src/beamspar/state/rate_limiter.py
+++ b/src/beamspar/state/rate_limiter.py
@@ -6,6 +6,8 @@
 
 # The rate grows at most once per interval, as the service counts requests per second.
 GROWTH_INTERVAL_S = 1.0
+# How long other requests wait at most after requests that did not wait for tokens.
+MAX_DEBT_S = 1.0
 GROWTH_FACTOR = 1.5
 REFUSAL_FACTOR = 0.6
 
@@ -50,8 +52,12 @@
         return self.available
 
     def spend(self, tokens: int) -> None:
-        """Consume tokens, even if fewer are available."""
-        self.available -= tokens
+        """Consume tokens, even if fewer are available; what is owed is limited."""
+        self.available = max(self.available - tokens, -self.rate * MAX_DEBT_S)
+
+    def refund(self, tokens: int) -> None:
+        """Give back the tokens of a request that was not sent."""
+        self.available = min(self.available + tokens, self.rate)
 
     def on_refused(self) -> None:
         """Reduce the rate and discard the tokens, after a refusal because of the service's rate."""
--- a/src/beamspar/state/request_queue.py
+++ b/src/beamspar/state/request_queue.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.defer import Deferred
 
-from beamspar.state.rate_limiter import RateLimiter
+from beamspar.state.rate_limiter import MAX_DEBT_S, RateLimiter
 from beamspar.transport.clock import Clock
 
 # The shortest delay after which the queue is checked again, when tokens are short.
@@ -20,10 +20,12 @@
 
     # Leases, watches and the requests on which a failover depends: sent at once at any rate.
     URGENT = 0
-    ACCEPT = 1
-    PLACEMENT = 2
-    COMPLETION = 3
-    BACKGROUND = 4
+    # Users' cancellations may be sent ahead of their tokens, up to `MAX_DEBT_S`.
+    CANCELLATION = 1
+    ACCEPT = 2
+    PLACEMENT = 3
+    COMPLETION = 4
+    BACKGROUND = 5
 
 
 class QueuedRequest(NamedTuple):
@@ -42,7 +44,11 @@
 
 
 class RequestQueue:
-    """Holds queued requests, and admits them in order as the rates allow."""
+    """Holds queued requests, and admits them in order as the rates allow.
+
+    Requests without changes need no tokens for changes, so they pass transactions that wait for
+    these. Among each other, both kinds keep their order.
+    """
 
     def __init__(
         self, clock: Clock, request_limiter: RateLimiter, change_limiter: RateLimiter
@@ -50,53 +56,71 @@
         self._clock = clock
         self._request_limiter = request_limiter
         self._change_limiter = change_limiter
-        self._queued: list[QueuedRequest] = []
+        self._reads: list[QueuedRequest] = []
+        self._transactions: list[QueuedRequest] = []
         self._last_sequence = 0
+        # The timer that checks the queue again, and when it is due.
         self._timer: Any = None
+        self._timer_due_at = 0.0
 
     def admit(self, priority: RequestPriority, changes: int, weight: float = 0.0) -> Deferred[None]:
         """Queue a request; return a Deferred that fires when it may be sent."""
         admitted: Deferred[None] = Deferred()
         self._last_sequence += 1
         entry = QueuedRequest(priority, weight, self._last_sequence, changes, admitted)
-        heapq.heappush(self._queued, entry)
+        heapq.heappush(self._transactions if changes else self._reads, entry)
         self._admit_ready()
         return admitted
 
-    def queued_requests(self, lowest_priority: RequestPriority) -> int:
-        """Return the number of queued requests with this priority or a more urgent one."""
-        return sum(1 for entry in self._queued if entry.priority <= lowest_priority)
+    def queued_reads(self, lowest_priority: RequestPriority) -> int:
+        """Return the number of queued reads with this priority or a more urgent one."""
+        return sum(1 for entry in self._reads if entry.priority <= lowest_priority)
 
     def queued_changes(self) -> int:
         """Return the total number of changes in the queued transactions."""
-        return sum(entry.changes for entry in self._queued)
+        return sum(entry.changes for entry in self._transactions)
 
     def _admit_ready(self) -> None:
-        while self._queued:
-            first = self._queued[0]
-            delay_s = self._delay_s(first)
-            if delay_s > 0:
-                if self._timer is None:
-                    self._timer = self._clock.callLater(delay_s, self._on_timer)
+        while self._reads or self._transactions:
+            heads = sorted(queue[0] for queue in (self._reads, self._transactions) if queue)
+            delays_s = [self._delay_s(head) for head in heads]
+            if min(delays_s) > 0:
+                self._schedule(min(delays_s))
                 return
-            heapq.heappop(self._queued)
+            first = heads[delays_s.index(0.0)]
+            heapq.heappop(self._transactions if first.changes else self._reads)
             self._request_limiter.spend(1)
             self._change_limiter.spend(first.changes)
             first.admitted.callback(None)
 
+    def _schedule(self, delay_s: float) -> None:
+        """Check the queue again after the delay, unless that is due sooner already."""
+        due_at = self._clock.seconds() + delay_s
+        if self._timer is not None:
+            if self._timer_due_at <= due_at:
+                return
+            self._timer.cancel()
+        self._timer_due_at = due_at
+        self._timer = self._clock.callLater(delay_s, self._on_timer)
+
     def _delay_s(self, entry: QueuedRequest) -> float:
         """Return how long the rates delay the request, in seconds; 0 if it may be sent now."""
-        request_tokens = self._request_limiter.refill()
-        change_tokens = self._change_limiter.refill()
+        if entry.priority <= RequestPriority.URGENT:
+            return 0.0
+        missing_requests = 1 - self._request_limiter.refill()
         # Tokens never exceed the rate of one second: a transaction with more changes than that
         # would never be admitted.
         needed_changes = min(entry.changes, self._change_limiter.rate)
-        has_tokens = request_tokens >= 1 and change_tokens >= needed_changes
-        if entry.priority <= RequestPriority.URGENT or has_tokens:
+        missing_changes = needed_changes - self._change_limiter.refill() if entry.changes else 0.0
+        if entry.priority == RequestPriority.CANCELLATION:
+            missing_changes -= self._change_limiter.rate * MAX_DEBT_S
+        if missing_requests <= 0 and missing_changes <= 0:
             return 0.0
-        request_delay_s = (1 - request_tokens) / self._request_limiter.rate
-        change_delay_s = (needed_changes - change_tokens) / self._change_limiter.rate
-        return max(request_delay_s, change_delay_s, MIN_DELAY_S)
+        return max(
+            missing_requests / self._request_limiter.rate,
+            missing_changes / self._change_limiter.rate,
+            MIN_DELAY_S,
+        )
 
     def _on_timer(self) -> None:
         self._timer = None
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -34,7 +34,7 @@
     harness.admit("first accept", RequestPriority.ACCEPT, 1)
     harness.admit("later poll", RequestPriority.ACCEPT, 0, 1.0)
     assert harness.admitted == []
-    assert harness.queue.queued_requests(RequestPriority.ACCEPT) == 4
+    assert harness.queue.queued_reads(RequestPriority.ACCEPT) == 2
     assert harness.queue.queued_changes() == 2
     harness.clock.advance_to(1.0)
     assert harness.admitted == [
@@ -54,6 +54,55 @@
     assert harness.requests.available == -1.0
 
 
+def test_requests_without_changes_pass_transactions_that_wait_for_changes() -> None:
+    """Guards against polls that wait for the tokens of changes, which they don't need."""
+    harness = QueueHarness()
+    harness.clock.advance_to(1.0)
+    harness.changes.refill()
+    harness.changes.spend(20)
+    harness.admit("accept", RequestPriority.ACCEPT, 5)
+    harness.admit("placement", RequestPriority.PLACEMENT, 4)
+    harness.admit("poll", RequestPriority.ACCEPT, 0, 1.0)
+    assert harness.admitted == ["poll"]
+    harness.clock.advance_to(1.0 + (10 + 5) / 10 + 0.1)
+    assert harness.admitted == ["poll", "accept"]
+    harness.clock.advance_to(3.0)
+    assert harness.admitted == ["poll", "accept", "placement"]
+
+
+def test_a_read_is_admitted_before_a_timer_that_was_set_for_a_transaction() -> None:
+    harness = QueueHarness()
+    harness.changes.spend(20)
+    harness.clock.advance_to(0.95)
+    harness.requests.spend(9)
+    harness.admit("accept", RequestPriority.ACCEPT, 10)
+    harness.admit("poll", RequestPriority.ACCEPT, 0, 1.0)
+    harness.clock.advance_to(1.1)
+    assert harness.admitted == ["poll"]
+
+
+def test_cancellations_are_sent_ahead_of_their_tokens_up_to_a_bound() -> None:
+    """Guards against a burst of cancellations after which nothing was sent for a minute."""
+    harness = QueueHarness()
+    harness.clock.advance_to(1.0)
+    for number in range(40):
+        harness.admit(f"cancellation {number}", RequestPriority.CANCELLATION, 2)
+    harness.admit("accept", RequestPriority.ACCEPT, 1)
+    assert len(harness.admitted) == 10 and harness.changes.available == -10.0
+    harness.clock.advance_to(2.0)
+    assert len(harness.admitted) == 15
+    harness.clock.advance_to(9.0)
+    assert harness.admitted[-1] == "accept"
+
+
+def test_what_urgent_requests_owe_is_bounded() -> None:
+    harness = QueueHarness()
+    for number in range(100):
+        harness.admit(f"renewal {number}", RequestPriority.URGENT, 3)
+    assert len(harness.admitted) == 100
+    assert harness.requests.available == harness.changes.available == -10.0
+
+
 def test_a_transaction_with_more_changes_than_the_rate_per_second_is_admitted() -> None:
     harness = QueueHarness()
     harness.clock.advance_to(1.0)
