Debt of the state service's buckets: 1.5 s; refills before each request; facts of invariants on demand

Urgent requests refill the buckets again before they spend, as they did: without it a bucket that only they used looked empty, and its rate grew.

--- a/src/beamspar/jobs/assignments.py
+++ b/src/beamspar/jobs/assignments.py
@@ -326,7 +326,7 @@
         return invariants.check(
             Invariant.RUN_FOR_JOB_IN_MEMORY,
             self.job_store.jobs.get(key.job_id) is assigned.job,
-            f"{key.name} attempt {assigned.task.attempt} on {assigned.task.machine}",
+            lambda: f"{key.name} attempt {assigned.task.attempt} on {assigned.task.machine}",
         )
 
     def _add_clears(
--- a/src/beamspar/jobs/job_controller.py
+++ b/src/beamspar/jobs/job_controller.py
@@ -139,7 +139,7 @@
         Of two copies of a job in memory, one would go on after the other has ended.
         """
         is_new = job.id not in self.jobs
-        if invariants.check(Invariant.JOB_IN_MEMORY_ONCE, is_new, job.id):
+        if invariants.check(Invariant.JOB_IN_MEMORY_ONCE, is_new, lambda: job.id):
             self.jobs[job.id] = job
         return is_new
 
--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -91,8 +91,10 @@
         return invariants.check(
             Invariant.START_PERMITTED,
             is_permitted,
-            f"{key} on {machine.info.name}: cancelled {is_cancelled}, over {is_over}, token "
-            f"confirmed {machine.has_confirmed_token}, mirror {self.mirror.age_s():.1f} s old",
+            lambda: (
+                f"{key} on {machine.info.name}: cancelled {is_cancelled}, over {is_over}, token "
+                f"confirmed {machine.has_confirmed_token}, mirror {self.mirror.age_s():.1f} s old"
+            ),
         )
 
     def _log_start(self, machine: ManagedMachine, key: AttemptKey) -> None:
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -153,8 +154,7 @@
                 invariants.check(
                     Invariant.CANCELLATION_OUTLASTS_ATTEMPTS,
                     is_over or not machine.is_observation_current,
-                    f"{key} on {machine.info.name} is {machine.tasks[key].status}, under fencing "
-                    f"token {machine.fencing_token}",
+                    functools.partial(_describe_task, machine, key),
                 )
                 if not is_over:
                     machine.orphaned.add(key)
@@ -369,3 +369,8 @@
         return [
             copy_capacity(self.summaries.capacity(machine)) for machine in self.machines.values()
         ]
+
+
+def _describe_task(machine: ManagedMachine, key: AttemptKey) -> str:
+    status = machine.tasks[key].status
+    return f"{key} on {machine.info.name} is {status}, under fencing token {machine.fencing_token}"
--- a/src/beamspar/state/rate_limiter.py
+++ b/src/beamspar/state/rate_limiter.py
@@ -7,7 +7,7 @@
 # The rate grows at most once per interval, as the service counts requests per second.
 GROWTH_INTERVAL_S = 1.0
 # How long other requests wait at most after requests that did not wait for tokens.
-MAX_DEBT_S = 1.0
+MAX_DEBT_S = 1.5
 GROWTH_FACTOR = 1.5
 REFUSAL_FACTOR = 0.6
 
--- a/src/beamspar/state/request_queue.py
+++ b/src/beamspar/state/request_queue.py
@@ -105,13 +105,15 @@
 
     def _delay_s(self, entry: QueuedRequest) -> float:
         """Return how long the rates delay the request, in seconds; 0 if it may be sent now."""
+        request_tokens = self._request_limiter.refill()
+        change_tokens = self._change_limiter.refill()
         if entry.priority <= RequestPriority.URGENT:
             return 0.0
-        missing_requests = 1 - self._request_limiter.refill()
+        missing_requests = 1 - request_tokens
         # Tokens never exceed the rate of one second: a transaction with more changes than that
         # would never be admitted.
         needed_changes = min(entry.changes, self._change_limiter.rate)
-        missing_changes = needed_changes - self._change_limiter.refill() if entry.changes else 0.0
+        missing_changes = needed_changes - change_tokens if entry.changes else 0.0
         if entry.priority == RequestPriority.CANCELLATION:
             missing_changes -= self._change_limiter.rate * MAX_DEBT_S
         if missing_requests <= 0 and missing_changes <= 0:
