--- a/src/beamspar/state/client.py
+++ b/src/beamspar/state/client.py
@@ -94,7 +94,7 @@
 
     def polls_backlog_s(self) -> float:
         """Return the estimated queueing delay of a user's poll, in seconds."""
-        ahead = self._queue.queued_reads(RequestPriority.ACCEPT)
+        ahead = self._queue.queued_requests(RequestPriority.ACCEPT)
         return ahead / self.request_limiter.rate
 
     def backlog_s(self) -> float:
--- a/src/beamspar/state/request_queue.py
+++ b/src/beamspar/state/request_queue.py
@@ -42,12 +42,17 @@
     changes: int
     admitted: Deferred[None]
 
+    @property
+    def may_be_passed(self) -> bool:
+        """Whether reads go ahead while it waits for tokens of changes, which they don't need."""
+        return self.priority == RequestPriority.CANCELLATION and self.changes > 0
+
 
 class RequestQueue:
     """Holds queued requests, and admits them in order as the rates allow.
 
-    Requests without changes need no tokens for changes, so they pass transactions that wait for
-    these. Among each other, both kinds keep their order.
+    Users may cancel many jobs at once, and reads need no tokens for changes, so they pass
+    cancellations that wait for these. All others keep their order.
     """
 
     def __init__(
@@ -72,9 +77,15 @@
         self._admit_ready()
         return admitted
 
-    def queued_reads(self, lowest_priority: RequestPriority) -> int:
-        """Return the number of queued reads with this priority or a more urgent one."""
-        return sum(1 for entry in self._reads if entry.priority <= lowest_priority)
+    def queued_requests(self, lowest_priority: RequestPriority) -> int:
+        """Return the number of queued requests with this priority or a more urgent one.
+
+        Cancellations that reads may pass are not counted.
+        """
+        queued = (*self._reads, *self._transactions)
+        return sum(
+            1 for entry in queued if entry.priority <= lowest_priority and not entry.may_be_passed
+        )
 
     def queued_changes(self) -> int:
         """Return the total number of changes in the queued transactions."""
@@ -83,6 +94,8 @@
     def _admit_ready(self) -> None:
         while self._reads or self._transactions:
             heads = sorted(queue[0] for queue in (self._reads, self._transactions) if queue)
+            if not heads[0].may_be_passed:
+                del heads[1:]
             delays_s = [self._delay_s(head) for head in heads]
             if min(delays_s) > 0:
                 self._schedule(min(delays_s))
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -34,7 +34,7 @@
     harness.admit("first accept", RequestPriority.ACCEPT, 1)
     harness.admit("later poll", RequestPriority.ACCEPT, 0, 1.0)
     assert harness.admitted == []
-    assert harness.queue.queued_reads(RequestPriority.ACCEPT) == 2
+    assert harness.queue.queued_requests(RequestPriority.ACCEPT) == 4
     assert harness.queue.queued_changes() == 2
     harness.clock.advance_to(1.0)
     assert harness.admitted == [
@@ -54,28 +54,30 @@
     assert harness.requests.available == -1.0
 
 
-def test_requests_without_changes_pass_transactions_that_wait_for_changes() -> None:
-    """Guards against polls that wait for the tokens of changes, which they don't need."""
+def test_reads_pass_cancellations_that_wait_for_changes() -> None:
+    """Guards against polls that wait for the tokens of a burst of cancellations."""
     harness = QueueHarness()
     harness.clock.advance_to(1.0)
     harness.changes.refill()
-    harness.changes.spend(20)
-    harness.admit("accept", RequestPriority.ACCEPT, 5)
-    harness.admit("placement", RequestPriority.PLACEMENT, 4)
+    harness.changes.spend(25)
+    harness.admit("cancellation", RequestPriority.CANCELLATION, 5)
+    harness.admit("accept", RequestPriority.ACCEPT, 1)
     harness.admit("poll", RequestPriority.ACCEPT, 0, 1.0)
     assert harness.admitted == ["poll"]
-    harness.clock.advance_to(1.0 + (10 + 5) / 10 + 0.1)
-    assert harness.admitted == ["poll", "accept"]
-    harness.clock.advance_to(3.0)
-    assert harness.admitted == ["poll", "accept", "placement"]
+    assert harness.queue.queued_requests(RequestPriority.ACCEPT) == 1
+    harness.clock.advance_to(1.6)
+    assert harness.admitted == ["poll", "cancellation"]
+    harness.clock.advance_to(4.0)
+    assert harness.admitted == ["poll", "cancellation", "accept"]
 
 
-def test_a_read_is_admitted_before_a_timer_that_was_set_for_a_transaction() -> None:
+def test_a_read_is_admitted_before_a_timer_that_was_set_for_a_cancellation() -> None:
     harness = QueueHarness()
-    harness.changes.spend(20)
     harness.clock.advance_to(0.95)
+    harness.changes.refill()
+    harness.changes.spend(30)
     harness.requests.spend(9)
-    harness.admit("accept", RequestPriority.ACCEPT, 10)
+    harness.admit("cancellation", RequestPriority.CANCELLATION, 10)
     harness.admit("poll", RequestPriority.ACCEPT, 0, 1.0)
     harness.clock.advance_to(1.1)
     assert harness.admitted == ["poll"]
