Review: case 4, jobs left out as a successor loads them

Jobs whose repeated submission is under way as the successor lists them are not read; their running tasks are stopped and never run again, while users are told that they run.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A leader that stood still returns machines on which accepted work runs under its successor."""
+"""Jobs that are submitted again while a successor loads them are never done."""
 
 from __future__ import annotations
 
@@ -7,29 +7,26 @@
 from rig_2.deploy import JOB, Deployment
 from rig_2.record import Record
 from rig_2.site import kelani, machine_type
+from rig_2.wire import call
 
-ZONE = "colombo-north"
-MACHINES = 45
-# How long the leader stands still; 32 s on the users' days.
-STILL_S = 20.0
-# The leader's calls are 1.33 s apart: it stops after its first return, before the next one.
-AFTER_FIRST_RETURN_S = 1.0
-FIRST_RETURN_TIMEOUT_S, WATCHED_S, STEP_S = 60.0, 15.0, 0.02
+ZONES = ["colombo-north", "hambantota"]
+# The users' requests go to the controller that takes the jobs over, which is not the leader.
+LEADER, SUCCESSOR, SILENT = "rig-1", "rig-0", "rig-2"
+JOBS, TASKS, RUN_S = 12, 30, 60.0
+# A controller goes silent for a minute; its jobs change hands as its lease (29 s) ends.
+SILENT_S, REPEATS_FROM_S, REPEATS_UNTIL_S, PAUSE_S = 60.0, 24.0, 36.0, 0.02
+# How long after the silence, when all tasks would long be done, nothing may be missing.
+AFTER_S, UNCHANGED_S = 46.0, 30.0
 
-BATCH = {
-    **JOB,
-    "lane": "backlog-recheck",
-    "owner": "clearance-desk-00",
-    "cpus": 4.0,
-    "memory_gb": 8.0,
-    "eta_s": 300.0,
-}
+State = tuple[int, int]
 
 
 async def play(record: Record, trouble: bool) -> str | None:
     """Play the case; return what was broken, empty if nothing was, None if it wasn't played."""
-    types = [machine_type("dhow-small", 4.0, 0.0, 8.0, [ZONE], 15.0)]
-    deployment = Deployment(record, kelani([ZONE]), types, {})
+    types = [machine_type("warehouse-wide", 64.0, 0.0, 128.0, ZONES, 15.0)]
+    facts = kelani(ZONES)
+    facts["state"]["next"] = {"value_kb": 2.0, "txn_ops": 8, "write_rps": 42.0}
+    deployment = Deployment(record, facts, types, {})
     try:
         return await _play(deployment, trouble)
     finally:
@@ -37,58 +34,78 @@
 
 
 async def _play(deployment: Deployment, trouble: bool) -> str | None:
-    for _ in range(MACHINES):
-        await deployment.cloud.add(("dhow-small", ZONE, False), age_s=60.0)
-    if not await deployment.start() or not await _first_return(deployment):
+    for zone in ZONES * 6:
+        await deployment.cloud.add(("warehouse-wide", zone, False), age_s=60.0)
+    if not await deployment.start(first=LEADER):
         return None
-    former = deployment.leader()
-    if former is None:
+    await asyncio.sleep(4.0)
+    sweep = {**JOB, "lane": "backlog-recheck", "owner": "clearance-desk-00", "scatter": True}
+    sweep |= {"parcels": TASKS, "eta_s": RUN_S}
+    jobs = [{**sweep, "id": f"j-{n:06d}", "crate": f"img-{n:02d}"} for n in range(JOBS)]
+    for job in jobs:
+        deployment.fleet.run_s[job["id"]] = RUN_S
+        if await deployment.submit(SILENT, job) != 201:
+            return None
+    await asyncio.sleep(1.0)
+    on = sum(len(deployment.fleet.running(job["id"])) for job in jobs)
+    deployment.record.add(f"{on} tasks are on machines, {deployment.leader()} leads")
+    if on != JOBS * TASKS or deployment.leader() != LEADER:
         return None
-    await asyncio.sleep(AFTER_FIRST_RETURN_S)
     if trouble:
-        deployment.hold(former, True)
-    others = [member for member in deployment.members if member != former]
-    for number in range(MACHINES):
-        await deployment.submit(others[number % 2], {**BATCH, "id": f"j-0000{number:02d}"})
-    broken = await _watch(deployment, STILL_S)
-    if trouble:
-        running = sum(len(worker.tasks) for worker in deployment.fleet.workers.values())
-        deployment.record.add(f"{deployment.leader()} leads, {running} tasks are on machines")
-        deployment.hold(former, False)
-    return broken or await _watch(deployment, WATCHED_S)
+        deployment.hold(SILENT, True)
+    silent_at = deployment.record.now()
+    await asyncio.gather(*(_repeat(deployment, job, silent_at) for job in jobs))
+    return await _watch(deployment, jobs, silent_at, trouble)
 
 
-async def _first_return(deployment: Deployment) -> bool:
-    """Wait until a machine was returned, which nobody has used."""
-    ends_at = deployment.record.now() + FIRST_RETURN_TIMEOUT_S
-    while deployment.record.now() < ends_at:
-        await asyncio.sleep(STEP_S)
-        if any(what == "return" for _, _, what, _ in deployment.cloud.calls):
-            return True
-    return False
+async def _repeat(deployment: Deployment, job: dict[str, object], silent_at: float) -> None:
+    """Repeat a job's submission again and again, as its user may at any time."""
+    record, answers = deployment.record, {}
+    await asyncio.sleep(REPEATS_FROM_S)
+    while record.now() < silent_at + REPEATS_UNTIL_S:
+        reply = await call(deployment.public[SUCCESSOR], "POST", "/submissions", job)
+        status = reply.status if reply is not None else 0
+        answers[status] = answers.get(status, 0) + 1
+        # After any other status the user waits for a second.
+        await asyncio.sleep(PAUSE_S if status in (200, 201) else 1.0)
+    record.add(f"user: submit {job['id']} again at {SUCCESSOR}: {answers}")
 
 
-def _work(deployment: Deployment) -> dict[str, list[str]]:
-    """Return the tasks on each machine."""
-    return {
-        worker.name: [task for (task, _), state in worker.tasks.items() if state.is_on]
-        for worker in deployment.fleet.workers.values()
-        if not worker.is_dead
-    }
+def _state(deployment: Deployment, job: str) -> State:
+    """Return how many of a job's tasks have completed, and how many are on machines."""
+    done = sum(1 for task in deployment.fleet.done if task.partition("/")[0] == job)
+    return done, len(deployment.fleet.running(job))
 
 
-async def _watch(deployment: Deployment, for_s: float) -> str:
-    """Return how a controller that doesn't lead returned machines with work; empty if none did."""
-    calls = deployment.cloud.calls
-    ends_at = deployment.record.now() + for_s
-    while deployment.record.now() < ends_at:
-        work, seen = _work(deployment), len(calls)
-        await asyncio.sleep(STEP_S)
-        for _, member, what, names in calls[seen:]:
-            lost = {name: work[name] for name in names if work.get(name)}
-            leader = deployment.leader()
-            if what == "return" and lost and member != leader:
-                for tasks in lost.values():
-                    await deployment.ask(str(leader), tasks[0].partition("/")[0])
-                return f"{member} returned machines with work while {leader} leads: {lost}"
+async def _watch(
+    deployment: Deployment, jobs: list[dict[str, object]], silent_at: float, trouble: bool
+) -> str:
+    """Return which jobs never end; empty if all are done."""
+    record = deployment.record
+    states: dict[str, tuple[State, float]] = {}
+    open_jobs = [str(job["id"]) for job in jobs]
+    is_silent = trouble
+    while open_jobs and record.now() < silent_at + SILENT_S + AFTER_S:
+        if is_silent and record.now() > silent_at + SILENT_S:
+            deployment.hold(SILENT, False)
+            is_silent = False
+        for job in list(open_jobs):
+            state = _state(deployment, job)
+            if states.get(job, ((-1, -1), 0.0))[0] != state:
+                states[job] = (state, record.now())
+                record.add(f"{job}: {state[0]} tasks are done, {state[1]} are on machines")
+            reply = await call(deployment.public[LEADER], "GET", f"/submissions/{job}", None, 2.0)
+            if reply is not None and reply.status == 200 and reply.body["status"] == "done":
+                open_jobs.remove(job)
+                record.add(f"user: ask for {job} at {LEADER}: {reply.body}")
+        await asyncio.sleep(0.5)
+    for job in open_jobs:
+        await deployment.ask(SUCCESSOR, job)
+    stuck = {
+        job: f"{states[job][0][0]} done, {states[job][0][1]} on machines"
+        for job in open_jobs
+        if record.now() - states[job][1] > UNCHANGED_S
+    }
+    if stuck:
+        return f"of {TASKS} tasks each, unchanged for {UNCHANGED_S:.0f} s and not done: {stuck}"
     return ""
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A replica that lost its zone's only machine never runs again, though machines can be rented."""
+"""A small gang that lost its machine is never placed again behind sixteen large ones."""
 
 from __future__ import annotations
 
@@ -7,54 +7,68 @@
 from rig_2.deploy import JOB, Deployment
 from rig_2.record import Record
 from rig_2.site import kelani, machine_type
+from rig_2.waiting import is_on, left_waiting
 
-ZONES = ["colombo-north", "hambantota"]
-# Well above what a new replica takes: a worker's lease (17 s), the lag of the cloud's list (twice
-# 8 s), a boot (1.5 times 15 s) and the reports of the new machine.
-PLAYED_S, STEP_S = 100.0, 0.25
+ZONE = "colombo-north"
+TEAM, NODE = "clearance-desk-00", "rig-1"
+LARGE_GANGS = 20
+
+GATEWAY = {
+    **JOB,
+    "id": "j-000001",
+    "lane": "port-gateway",
+    "owner": TEAM,
+    "shape": "standing",
+    "urgency": "critical",
+    "parcels": 62,
+    "memory_gb": 1.3,
+    "rig_kinds": ["warehouse-wide"],
+}
+GANG = {
+    **JOB,
+    "owner": TEAM,
+    "shape": "ensemble",
+    "cpus": 2.0,
+    "memory_gb": 3.2,
+    "crate": "img-02",
+    "together": True,
+    "stamp_every_s": 20.0,
+    "stamp_s": 3.0,
+}
+SMALL = {**GANG, "lane": "manifest-gang", "parcels": 2, "id": "j-000002"}
 
 
 async def play(record: Record, trouble: bool) -> str | None:
     """Play the case; return what was broken, empty if nothing was, None if it wasn't played."""
-    types = [machine_type("warehouse-wide", 64.0, 0.0, 128.0, ZONES, 15.0)]
-    capacity = {("warehouse-wide", zone, False): 5 for zone in ZONES}
-    deployment = Deployment(record, kelani(ZONES), types, capacity)
+    types = [
+        machine_type("dhow-small", 4.0, 0.0, 8.0, [ZONE], 15.0),
+        machine_type("warehouse-wide", 64.0, 0.0, 128.0, [ZONE], 15.0),
+    ]
+    deployment = Deployment(record, kelani([ZONE]), types, {})
     try:
-        return await _play(deployment, record, trouble)
+        return await _play(deployment, trouble)
     finally:
         deployment.stop()
 
 
-async def _play(deployment: Deployment, record: Record, trouble: bool) -> str | None:
-    fleet = deployment.fleet
-    for zone in (ZONES[0], ZONES[0], ZONES[1]):
-        await deployment.cloud.add(("warehouse-wide", zone, False), age_s=60.0)
+async def _play(deployment: Deployment, trouble: bool) -> str | None:
+    for kind in ("warehouse-wide", "dhow-small", "dhow-small"):
+        await deployment.cloud.add((kind, ZONE, False), age_s=60.0)
     if not await deployment.start():
         return None
     await asyncio.sleep(6.0)
-    gateway = {**JOB, "id": "j-000001", "lane": "port-gateway", "owner": "clearance-desk-00"}
-    gateway |= {"shape": "standing", "urgency": "critical", "parcels": 2, "memory_gb": 1.3}
-    gateway |= {"scatter": True}
-    if await deployment.submit("rig-0", gateway) != 201:
-        return None
-    await asyncio.sleep(2.0)
-    zones = {fleet.workers[machine].yard for _, _, machine in fleet.running("j-000001")}
-    if zones != set(ZONES):
+    large = {**GANG, "lane": "legacy-merge", "parcels": 16}
+    jobs = [GATEWAY, *({**large, "id": f"j-0001{n:02d}"} for n in range(LARGE_GANGS)), SMALL]
+    deployment.fleet.run_s["j-000002"] = 90.0
+    for job in jobs:
+        if await deployment.submit(NODE, job) != 201:
+            return None
+        if job is GATEWAY and not await is_on(deployment, GATEWAY):
+            return None
+    places = await is_on(deployment, SMALL)
+    deployment.record.add(f"j-000002 is on {places}")
+    if len(places) != 1 or "host-000001" in places:
         return None
     if trouble:
-        deployment.machine_stops("host-000003")
-    ends_at, granted_before = record.now() + PLAYED_S, len(deployment.cloud.granted)
-    while record.now() < ends_at:
-        await asyncio.sleep(STEP_S)
-        if trouble and len(fleet.running("j-000001")) == 2:
-            record.add("both replicas run again")
-            return ""
-    await deployment.ask("rig-0", "j-000001")
-    running = fleet.running("j-000001")
-    if len(running) == 2:
-        return ""
-    rentals = len(deployment.cloud.granted) - granted_before
-    return (
-        f"{PLAYED_S:.0f} s after a machine stopped only {running} runs; five machines could be "
-        f"rented in {ZONES[1]}, {rentals} rentals were made"
-    )
+        deployment.machine_stops(places.pop())
+    return await left_waiting(deployment, NODE, SMALL)
--- a/review/rig_2/deploy.py
+++ b/review/rig_2/deploy.py
@@ -89,15 +89,19 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.folder = tempfile.TemporaryDirectory(prefix="beamspar-review-")
 
-    async def start(self) -> bool:
-        """Start everything; return whether all controllers are healthy in time."""
+    async def start(self, first: str = "") -> bool:
+        """Start everything; return whether all controllers are healthy in time.
+
+        With `first`, that controller is started a second before the others, and so leads.
+        """
         self.state_addresses = await self.state.start(self.members)
         self.cloud_addresses = await self.cloud.start(self.members)
         for pair in itertools.permutations(self.members, 2):
             self.links[pair] = Link(int(self.peer[pair[1]].rpartition(":")[2]))
             self.link_addresses[pair] = await self.links[pair].start()
-        for member in self.members:
+        for member in sorted(self.members, key=lambda member: member != first):
             self.boot(member)
+            await asyncio.sleep(1.0 if member == first else 0.0)
         ends_at = self.record.now() + START_TIMEOUT_S
         waiting = set(self.members)
         while waiting and self.record.now() < ends_at:
--- a/review/rig_2/state.py
+++ b/review/rig_2/state.py
@@ -165,9 +165,8 @@
         ]
         if failed:
             return Reply(409, {"failed": failed, "ledger_rev": self.revision})
-        if changes:
-            await self._commit(changes)
-        return Reply(200, {"ledger_rev": self.revision})
+        revision = await self._commit(changes) if changes else self.revision
+        return Reply(200, {"ledger_rev": revision})
 
     def _error(self, body: dict[str, Any], changes: list[dict[str, Any]]) -> str:
         """Return why the transaction is refused, whatever its conditions; empty if it isn't."""
@@ -185,21 +184,24 @@
                 return "too large"
         return ""
 
-    async def _commit(self, changes: list[dict[str, Any]]) -> None:
+    async def _commit(self, changes: list[dict[str, Any]]) -> int:
+        """Carry out the changes and wake the watches; return the revision of the changes."""
         self.revision += 1
+        revision = self.revision
         for change in changes:
-            event: dict[str, Any] = {"entry_rev": self.revision}
+            event: dict[str, Any] = {"entry_rev": revision}
             if "put" in change:
                 key = change["put"]
-                self.items[key] = (change["data"], self.revision, change.get("permit"))
+                self.items[key] = (change["data"], revision, change.get("permit"))
                 event |= {"put": key, "data": change["data"]}
             elif self.items.pop(change["drop"], None) is not None:
                 event["drop"] = change["drop"]
             else:
                 continue
-            self.history.append((self.revision, event))
+            self.history.append((revision, event))
         async with self.changed:
             self.changed.notify_all()
+        return revision
 
     def _events(self, under: str, since: int) -> list[dict[str, Any]]:
         events = []
--- a/review/rig_2/wire.py
+++ b/review/rig_2/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -12,6 +13,8 @@
 
 HOST = "127.0.0.1"
 CALL_TIMEOUT_S = 5.0
+# Below the ports that systems give to clients.
+SERVED_PORTS = (12_000, 30_000)
 
 
 class Request(NamedTuple):
@@ -34,10 +37,15 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port of the loopback address that is free, and that no client is given."""
+    while True:
+        port = random.randrange(*SERVED_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 async def _read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]] | None:
