--- a/review/rig_2/deploy.py
+++ b/review/rig_2/deploy.py
@@ -110,6 +110,9 @@
                     waiting.discard(member)
             await asyncio.sleep(0.1)
         self.record.add(f"controllers started, not healthy: {sorted(waiting) or 'none'}")
+        for member in sorted(waiting):
+            log = (Path(self.folder.name) / f"{member}.log").read_text().splitlines()
+            self.record.add(f"{member} ends its log with: {log[-5:]}")
         return not waiting
 
     async def is_healthy(self, member: str) -> bool:
--- a/review/rig_2/wire.py
+++ b/review/rig_2/wire.py
@@ -15,6 +15,7 @@
 CALL_TIMEOUT_S = 5.0
 # Below the ports that systems give to clients.
 SERVED_PORTS = (12_000, 30_000)
+_held_ports: list[socket.socket] = []
 
 
 class Request(NamedTuple):
@@ -37,15 +38,23 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free, and that no client is given."""
+    """Return a free port of the loopback address, which no other run or client is given.
+
+    It stays bound, without listening, until this process ends; a controller can listen on it.
+    """
     while True:
         port = random.randrange(*SERVED_PORTS)
-        with socket.socket() as probe:
-            try:
+        holder = socket.socket()
+        try:
+            with socket.socket() as probe:
                 probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((HOST, port))
+        except OSError:
+            holder.close()
+            continue
+        _held_ports.append(holder)
+        return port
 
 
 async def _read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]] | None:
