No job is left out of a takeover whose user submits it again

A controller falls silent, its successor loads its jobs while users repeat their submissions, and two to ten of twelve jobs are left out. Their running tasks are stopped and never run again; users are told "running" for ever.

Cause: JobLoader put aside each listed job whose accept was in progress and read it again only if the accept was still in progress later. An accept that repeats the submission of a stored job is refused, so by then neither the accept nor the load had added the job, and the partition was marked as loaded. The desired state that followed lacked the job's attempts, so holders stopped them. Seen by a trace on the stand-ins: of the jobs put aside, j-3 and j-4 were no longer being accepted when their turn came, and were not in memory after it.

Change: an accept and a load of the same job exclude each other. A load waits for the accept in progress and then always reads the record, and no accept of a job begins while its record is being loaded (its user is asked to retry). The load of a partition says in its log how many jobs it read again.

Why it works: after the listing each job of the partition is either in memory or read in a section that no accept can enter, so there is no third outcome.

--- a/src/beamspar/jobs/job_controller.py
+++ b/src/beamspar/jobs/job_controller.py
@@ -191,6 +191,10 @@
         """
         return await self.acceptor.accept(spec)
 
+    def may_accept(self, job_id: str) -> bool:
+        """Return whether an accept of the job may begin: none and no load of it is in progress."""
+        return job_id not in self.jobs_being_accepted and not self.loader.is_loading(job_id)
+
     @property
     def jobs_being_accepted(self) -> dict[str, Job]:
         """Jobs whose acceptance by this controller is in progress, by ID."""
--- a/src/beamspar/jobs/job_loader.py
+++ b/src/beamspar/jobs/job_loader.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -54,6 +55,8 @@
         # load has read of such a job is outdated.
         self.active_load_count = 0
         self.finished_during_load: set[str] = set()
+        # The number of loads in progress of single records, by job ID.
+        self._record_loads: Counter[str] = Counter()
 
     async def load(self) -> None:
         """Load the jobs of this controller's partitions that are not in memory yet."""
@@ -73,8 +76,9 @@
     async def load_stored_job(self, job_id: str) -> Job | None:
         """Load one stored job of this controller's partitions.
 
-        Return None if the job was not loaded: it is already in memory or being accepted, is not
-        stored in an owned partition, or could not be read.
+        If an accept of the job is in progress, its end is awaited first. Return None if the job was
+        not loaded: it is already in memory, is not stored in an owned partition, or could not be
+        read.
         """
         with self._count_load():
             try:
@@ -83,6 +87,10 @@
                 log.info("{job}: loading the stored job failed: {error}", job=job_id, error=error)
                 return None
 
+    def is_loading(self, job_id: str) -> bool:
+        """Return whether the job's record is being loaded, so that no accept of it may begin."""
+        return job_id in self._record_loads
+
     def job_finished(self, job_id: str) -> None:
         """Make the loads in progress discard what they have read of a finished job."""
         if self.active_load_count:
@@ -98,6 +106,20 @@
             if not self.active_load_count:
                 self.finished_during_load.clear()
 
+    @contextmanager
+    def _exclude_accepts(self, job_id: str) -> Iterator[None]:
+        """Let no accept of the job begin until its record is loaded.
+
+        Otherwise the record could be that of the accept, which adds the job to memory by itself.
+        """
+        self._record_loads[job_id] += 1
+        try:
+            yield
+        finally:
+            self._record_loads[job_id] -= 1
+            if not self._record_loads[job_id]:
+                del self._record_loads[job_id]
+
     # -- ownership of partitions
 
     def _ownership_revisions(self) -> dict[str, int]:
@@ -139,44 +161,37 @@
             if job_id in self._job_store.jobs_being_accepted:
                 being_accepted.append(job_id)
             else:
-                await self._load_job(job_id, item, ownership)
+                with self._exclude_accepts(job_id):
+                    await self._load_job(job_id, item, ownership)
+        if being_accepted:
+            log.info(
+                "load: {n} of {total} stored jobs were being accepted, reading these again",
+                n=len(being_accepted),
+                total=len(items),
+            )
+        # By now such an accept may have ended without adding the job to memory: one that repeats
+        # the submission of a stored job is refused.
         for job_id in being_accepted:
-            await self._load_after_accept(job_id)
-
-    async def _load_after_accept(self, job_id: str) -> None:
-        """Load a job whose accept is in progress, unless the accept adds it to memory."""
-        while job_id in self._job_store.jobs_being_accepted:
-            await self._job_store.accept_finished(job_id)
             await self._load_record(job_id)
 
-    async def _load_job(self, job_id: str, item: KeyValue, ownership: dict[str, int]) -> None:
+    async def _load_job(self, job_id: str, item: KeyValue, ownership: dict[str, int]) -> Job | None:
+        """Add a job to memory; return None if it is there already, has finished or is not owned."""
         record = records.read_job(item)
         if job_id in self._job_store.jobs or not self._is_still_owned(record.partition, ownership):
-            return
-        job = await self._restore(record, item.version)
-        if self._is_still_owned(record.partition, ownership):
-            self._add_to_memory(job)
-
-    async def _load_record(self, job_id: str) -> Job | None:
-        ownership = self._ownership_revisions()
-        item = await self._state.get(keys.job_key(job_id), RequestPriority.PLACEMENT)
-        if (
-            item is None
-            or job_id in self._job_store.jobs
-            or job_id in self._job_store.jobs_being_accepted
-        ):
-            return None
-        record = records.read_job(item)
-        if not self._is_still_owned(record.partition, ownership):
             return None
         job = await self._restore(record, item.version)
         is_owned = self._is_still_owned(record.partition, ownership)
-        is_added = (
-            is_owned
-            and job_id not in self._job_store.jobs_being_accepted
-            and self._add_to_memory(job)
-        )
-        return job if is_added else None
+        return job if is_owned and self._add_to_memory(job) else None
+
+    async def _load_record(self, job_id: str) -> Job | None:
+        """Read a job's record and add the job to memory, once no accept of it is in progress."""
+        with self._exclude_accepts(job_id):
+            await self._job_store.accept_finished(job_id)
+            if job_id in self._job_store.jobs:
+                return None
+            ownership = self._ownership_revisions()
+            item = await self._state.get(keys.job_key(job_id), RequestPriority.PLACEMENT)
+            return await self._load_job(job_id, item, ownership) if item is not None else None
 
     async def _restore(self, record: JobRecord, version: int) -> Job:
         """Build the job from its record and its further chunks."""
--- a/src/beamspar/node/submissions.py
+++ b/src/beamspar/node/submissions.py
@@ -104,7 +104,7 @@
 
     async def _accept(self, job: str, spec: JobSpec) -> HttpResponse:
         job_controller = self.current.job_controller
-        if job_controller is None or job in job_controller.jobs_being_accepted:
+        if job_controller is None or not job_controller.may_accept(job):
             return busy()
         if self.in_progress >= self.max_in_progress:
             return busy(self.state.backlog_s())
--- a/tests/test_accept_during_load.py
+++ b/tests/test_accept_during_load.py
@@ -6,11 +6,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import pytest
+
 from tests.standins.world import ZONES, World
 
 # Longer than a takeover takes from the write of the partition's record to the list of jobs.
 RESPONSE_DELAY_S = 1.0
 SUBMISSION_INTERVAL_S = 0.25
+# Users that submit accepted jobs again, each with one request at a time at one controller: the
+# pause after a response of 200 and after any other.
+REPEATED_JOBS = 12
+REPLICAS = 30
+PAUSE_S = 0.02
+PAUSE_AFTER_ERROR_S = 1.0
+# Longer than the load of all records after the write of the partition's record.
+LOAD_TIME_S = 3.0
 
 
 def is_taken_over(world: World) -> bool:
@@ -67,3 +79,43 @@
     ]
     assert others == []
     assert all(world.running(job) == 1 for job in jobs)
+
+
+def repeat_submission(world: World, job: str, node: str, is_over: Callable[[], bool]) -> None:
+    """Submit an accepted job again and again, from now on until it is over."""
+
+    def on_response(result: tuple[int, dict[str, object]]) -> None:
+        if not is_over():
+            pause_s = PAUSE_S if result[0] == 200 else PAUSE_AFTER_ERROR_S
+            world.clock.callLater(pause_s, repeat_submission, world, job, node, is_over)
+
+    world.call(node, "POST", "/submissions", world.checker.jobs[job]).addCallback(on_response)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_job_is_left_out_of_a_takeover_whose_user_submits_it_again(seed: int) -> None:
+    # An accept that was in progress when the successor listed the jobs, and refused before the
+    # successor came to that job, left the job unread: its running tasks were stopped for good.
+    world = World(
+        seed,
+        machines=[{"kind": "big", "zone": zone, "count": 6} for zone in ZONES],
+        state={"value_kb": 2.0, "txn_ops": 8},
+    )
+    world.run(6)
+    jobs = [f"j-{number}" for number in range(REPEATED_JOBS)]
+    for job in jobs:
+        world.submit(job, "rig-1", parcels=REPLICAS)
+    world.run(20)
+    assert [world.running(job) for job in jobs] == [REPLICAS] * REPEATED_JOBS
+    world.crash("rig-1", None)
+    world.run(36)
+    users_stop = False
+    for job in jobs:
+        for node in ("rig-0", "rig-2"):
+            repeat_submission(world, job, node, lambda: users_stop)
+    while not is_taken_over(world):
+        world.run(world.clock.seconds() + SUBMISSION_INTERVAL_S)
+    world.run(world.clock.seconds() + LOAD_TIME_S)
+    users_stop = True
+    world.run(world.clock.seconds() + 20)
+    assert [world.running(job) for job in jobs] == [REPLICAS] * REPEATED_JOBS
--- a/tests/test_job_controller.py
+++ b/tests/test_job_controller.py
@@ -76,6 +76,30 @@
     assert not controller.loader.active_load_count and not controller.loader.finished_during_load
 
 
+def test_no_accept_of_a_job_begins_while_its_record_is_being_loaded() -> None:
+    # The load and the accept would both add the job to memory, or each leave it to the other one.
+    controller, store = make()
+    ensureDeferred(controller.load())
+    assert not controller.may_accept("j-1")
+    assert controller.may_accept("j-2")
+    store.pending_replies[0].callback(None)
+    assert "j-1" in controller.jobs
+    assert controller.may_accept("j-1")
+
+
+def test_a_job_is_loaded_after_its_accept_was_refused() -> None:
+    # A load that met an accept returned at once, although the refused accept adds no job.
+    controller, store = make()
+    accept: Deferred[bool] = ensureDeferred(controller.accept(SPEC))
+    accept.addErrback(lambda failure: failure.trap(ConflictError))
+    ensureDeferred(controller.load_stored_job("j-1"))
+    (accept_reply,) = store.pending_replies
+    accept_reply.errback(ConflictError(["job/j-1"]))
+    assert "j-1" not in controller.jobs
+    store.pending_replies[1].callback(None)
+    assert "j-1" in controller.jobs
+
+
 def test_a_cancellation_stored_after_the_read_is_applied_as_the_job_is_loaded() -> None:
     controller, store = make()
     ensureDeferred(controller.load())
