A poll answered from the cache loads a job that is missing in memory

Cause: a poll loads a missing job of this controller's partitions only when it reads its record. The record of a job that nobody drives never changes, so every poll was answered from the cache after a comparison of versions.

Change: an answer from the cache loads such a job too, once its partition is loaded, so that a load in progress gets no further reads; two loads of one record no longer overlap.

Evidence: the new test of polls failed before (the record was not read, the job not loaded) and passes now.

--- a/src/beamspar/node/job_lookup.py
+++ b/src/beamspar/node/job_lookup.py
@@ -104,6 +104,7 @@
                 and stored.record.status == JobStatus.LIVE
                 and await self._is_current(job, stored.version)
             ):
+                self._load_left_out_job(job, stored.record)
                 return stored_state(job, stored.record)
         return await self.read(job)
 
@@ -165,5 +166,12 @@
             job_controller is not None
             and record.partition in job_controller.partitions
             and job not in job_controller.jobs
+            and not job_controller.loader.is_loading(job)
         ):
             run_in_background(job_controller.load_stored_job(job), f"adopting {job}")
+
+    def _load_left_out_job(self, job: str, record: JobRecord) -> None:
+        """Load a missing job unless the load of its partition, in progress, is going to add it."""
+        job_controller = self.current.job_controller
+        if job_controller is not None and record.partition in job_controller.loaded_partitions:
+            self._load_missing_job(job, record)
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -8,6 +8,8 @@
 
 from typing import Any
 
+from beamspar.node.job_lookup import StoredJob, decode_record
+from beamspar.state.job_records import JobRecord
 from tests.standins.world import World
 
 
@@ -94,3 +96,18 @@
     world.submit("j-2", "rig-1")
     world.run(20.6)
     assert "j-2" in world.checker.accepted
+
+
+def test_a_poll_answered_from_the_cache_loads_a_job_that_is_missing_in_memory() -> None:
+    # Polls answered from the cache never read the record, and only a read loaded a missing job.
+    world = world_with_job()
+    node = world.nodes["rig-0"]
+    value, version, _ = world.state.items["job/j-1"]
+    node.api.jobs.stored.put("j-1", StoredJob(version, decode_record(value, JobRecord)))
+    node.job_controller.remove_job(node.job_controller.jobs["j-1"])
+    paths = record_reads(world, "j-1")
+    responses = poll(world, "rig-0", "j-1", 1)
+    world.run(22.0)
+    assert [status for status, _ in responses] == [200]
+    assert len(paths) == 1, "the job is read once, by its load"
+    assert "j-1" in node.job_controller.jobs
