No machine gets more tasks than its worker's heartbeat can list

An array of 2,400 small tasks fills one machine, which is deleted with all of them; the next one gets the same tasks, and no task is ever done.

Cause: only CPUs, GPUs and memory bounded the tasks of a machine. The machine fell silent, counted as failed and was deleted.

Change: the bytes of the heartbeat are a resource beside the others, counted by the longest entry that a task can have. Local placement, the leader's offers, preemption, reservations of gangs, scale-out and scale-in go by it, and the machine's controller checks it again before a start. Ended tasks take their bytes until they are cleared. A class of the highest priority preempts for bytes as for other resources.

--- a/src/beamspar/leader/capacity_needs.py
+++ b/src/beamspar/leader/capacity_needs.py
@@ -10,11 +10,10 @@
 from beamspar.leader.demand import CapacityNeed, UnmetDemand
 from beamspar.leader.fleet_view import FleetView
 from beamspar.leader.member_view import MemberView
-from beamspar.protocol.jobs import LOWEST_RANK, JobSpec
+from beamspar.protocol.jobs import HIGHEST_RANK, LOWEST_RANK, JobSpec
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock
 
-HIGHEST_RANK = 0
 # Headroom suffices for this many of a class's largest jobs, as several may be submitted together.
 LARGEST_JOBS_AT_ONCE = 2
 
--- a/src/beamspar/leader/gang_reservations.py
+++ b/src/beamspar/leader/gang_reservations.py
@@ -12,7 +12,7 @@
 
 from beamspar.leader.demand import JobDemand
 from beamspar.placement import fitting_task_count, is_allowed
-from beamspar.protocol.jobs import JobSpec
+from beamspar.protocol.jobs import HIGHEST_RANK, JobSpec
 from beamspar.protocol.machine_capacity import MachineCapacity
 from beamspar.timeouts import Timeouts
 
@@ -86,7 +86,8 @@
         for capacity in zone_capacities:
             names.append(capacity.name)
             free_slots += fitting_task_count(spec, capacity)
-            later_slots += fitting_task_count(spec, _capacity_when_work_ends(capacity))
+            # Critical tasks are services, which don't end; all others do.
+            later_slots += fitting_task_count(spec, capacity.after_preemption(HIGHEST_RANK))
             if later_slots >= count:
                 break
         if later_slots >= count and free_slots > most_free:
@@ -103,19 +104,3 @@
         if is_allowed(spec, capacity, {}):
             by_zone.setdefault(capacity.zone if spec.one_zone else "", []).append(capacity)
     return list(by_zone.values())
-
-
-def _capacity_when_work_ends(capacity: MachineCapacity) -> MachineCapacity:
-    """Return the machine's capacity once its tasks below the critical priority have ended.
-
-    Critical tasks are services, which don't end.
-    """
-    if not capacity.preemptible:
-        return capacity
-    cpus, gpus, memory = capacity.preemptible[0]
-    return msgspec.structs.replace(
-        capacity,
-        cpus=capacity.cpus + cpus,
-        gpus=capacity.gpus + gpus,
-        memory_gb=capacity.memory_gb + memory,
-    )
--- a/src/beamspar/leader/scale_out_planning.py
+++ b/src/beamspar/leader/scale_out_planning.py
@@ -169,9 +169,7 @@
             continue
         fit = min(fitting_task_count(spec, capacity), count - reserved)
         if fit > 0:
-            capacity.cpus -= fit * spec.cpus
-            capacity.gpus -= fit * spec.gpus
-            capacity.memory_gb -= fit * spec.memory_gb
+            capacity.reserve(spec, fit)
             reserved += fit
     return reserved
 
--- a/src/beamspar/machines/command_planning.py
+++ b/src/beamspar/machines/command_planning.py
@@ -185,6 +185,9 @@
         Return whether it does.
         """
         free = self.summaries.free_resources(machine, key)
+        # Ended tasks are cleared without any preemption.
+        bytes_after_clears = free.heartbeat_bytes + machine.ended_heartbeat_bytes()
+        free = free._replace(heartbeat_bytes=bytes_after_clears)
         victims = choose_victims(machine, key, desired, free)
         if victims is None:
             return False
--- a/src/beamspar/machines/machine_summaries.py
+++ b/src/beamspar/machines/machine_summaries.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable, Iterable
 
+from msgspec import UNSET
+
 from beamspar.machines.managed_machine import AttemptKey, Attempts, ManagedMachine
 from beamspar.machines.resources import NO_RESOURCES, Resources
 from beamspar.protocol.cloud import MachineType
-from beamspar.protocol.machine_capacity import MachineCapacity
+from beamspar.protocol.machine_capacity import MAX_REPORTED_HEARTBEAT_BYTES, MachineCapacity
 from beamspar.protocol.peer_messages import MachineStatus
+from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_entry_bytes
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock
 
@@ -55,8 +58,13 @@
         kind = self.types().get(machine.info.kind)
         if kind is None:
             return NO_RESOURCES
-        cpus, gpus, memory_gb = machine.reserved_resources(excluding)
-        return Resources(kind.cpus - cpus, kind.gpus - gpus, kind.memory_gb - memory_gb)
+        reserved = machine.reserved_resources(excluding)
+        return Resources(
+            kind.cpus - reserved.cpus,
+            kind.gpus - reserved.gpus,
+            kind.memory_gb - reserved.memory_gb,
+            MAX_LIST_BYTES - reserved.heartbeat_bytes,
+        )
 
     def capacity(self, machine: ManagedMachine) -> MachineCapacity:
         """Return the machine's free capacity, recomputed only if the machine has changed."""
@@ -126,6 +134,9 @@
     live = {
         key: desired for key, desired in machine.desired_attempts.items() if machine.is_live(key)
     }
+    # Attempts that are being preempted already don't count again.
+    preemptible = {key: desired for key, desired in live.items() if key not in machine.preempted}
+    is_heartbeat_reported = free.heartbeat_bytes < MAX_REPORTED_HEARTBEAT_BYTES
     info = machine.info
     return MachineCapacity(
         info.name,
@@ -136,29 +147,35 @@
         free.gpus,
         free.memory_gb,
         dict(machine.images),
-        _preemptible_resources(machine, live),
+        _preemptible_resources(preemptible),
         # Tasks that no job controller has listed yet also keep the machine from being idle.
         tasks=_count_unknown_tasks(machine) + len(live),
         fetching=_count_awaited_images(machine, live),
+        heartbeat_bytes=free.heartbeat_bytes if is_heartbeat_reported else UNSET,
+        preemptible_heartbeat_bytes=(
+            _preemptible_heartbeat_bytes(preemptible) if is_heartbeat_reported else UNSET
+        ),
     )
 
 
-def _preemptible_resources(
-    machine: ManagedMachine, live: Attempts
-) -> list[tuple[float, float, float]]:
-    """Return, for each priority rank, the resources that preemption would free.
+def _preemptible_resources(attempts: Attempts) -> list[tuple[float, float, float]]:
+    """Return, for each priority rank, the resources of the attempts of lower priority."""
+    by_rank = [[0.0, 0.0, 0.0] for _ in range(PRIORITY_RANKS)]
+    for desired in attempts.values():
+        for rank in range(min(desired.rank, PRIORITY_RANKS)):
+            by_rank[rank][0] += desired.cpus
+            by_rank[rank][1] += desired.gpus
+            by_rank[rank][2] += desired.memory_gb
+    return [(cpus, gpus, memory_gb) for cpus, gpus, memory_gb in by_rank]
+
 
-    These are the resources of all attempts of lower priority that are not being preempted already.
-    """
-    preemptible = [[0.0, 0.0, 0.0] for _ in range(PRIORITY_RANKS)]
-    for key, desired in live.items():
-        if key in machine.preempted:
-            continue
+def _preemptible_heartbeat_bytes(attempts: Attempts) -> list[int]:
+    """Return, for each priority rank, the bytes of the heartbeat for attempts of lower priority."""
+    by_rank = [0] * PRIORITY_RANKS
+    for key, desired in attempts.items():
         for rank in range(min(desired.rank, PRIORITY_RANKS)):
-            preemptible[rank][0] += desired.cpus
-            preemptible[rank][1] += desired.gpus
-            preemptible[rank][2] += desired.memory_gb
-    return [(cpus, gpus, memory_gb) for cpus, gpus, memory_gb in preemptible]
+            by_rank[rank] += max_entry_bytes(len(key.task))
+    return by_rank
 
 
 def _count_unknown_tasks(machine: ManagedMachine) -> int:
--- a/src/beamspar/machines/managed_machine.py
+++ b/src/beamspar/machines/managed_machine.py
@@ -11,7 +11,8 @@
 from beamspar.machines.resources import Resources
 from beamspar.protocol.machine_capacity import MachineCapacity
 from beamspar.protocol.peer_messages import AttemptState, DesiredAction, DesiredAttempt
-from beamspar.protocol.workers import TaskStatus
+from beamspar.protocol.task_entries import max_entry_bytes
+from beamspar.protocol.workers import TaskState, TaskStatus
 from beamspar.state.control_records import Machine
 
 log = Logger(namespace="machines")
@@ -214,20 +215,34 @@
         )
 
     def reserved_resources(self, excluding: AttemptKey | None = None) -> Resources:
-        """Return the resources that live attempts use, without those of the excluded one."""
+        """Return the resources that live attempts use, without those of the excluded one.
+
+        All tasks that the worker reports take bytes of its heartbeat until they are cleared.
+        """
         if self.reserved is None:
             cpus = gpus = memory_gb = 0.0
+            heartbeat_bytes = sum(max_entry_bytes(len(key.task)) for key in self.tasks)
             for key, desired in self.desired_attempts.items():
                 if self.is_live(key):
                     cpus += desired.cpus
                     gpus += desired.gpus
                     memory_gb += desired.memory_gb
-            self.reserved = Resources(cpus, gpus, memory_gb)
+                    if key not in self.tasks:
+                        heartbeat_bytes += max_entry_bytes(len(key.task))
+            self.reserved = Resources(cpus, gpus, memory_gb, heartbeat_bytes)
         excluded = self.desired_attempts.get(excluding) if excluding is not None else None
         if excluding is None or excluded is None or not self.is_live(excluding):
             return self.reserved
         return self.reserved.minus(excluded)
 
+    def ended_heartbeat_bytes(self) -> int:
+        """Return the bytes of the heartbeat that become free as ended tasks are cleared."""
+        return sum(
+            max_entry_bytes(len(key.task))
+            for key, task in self.tasks.items()
+            if task.status == TaskState.ENDED
+        )
+
     def is_awaiting_image(self, key: AttemptKey, desired: DesiredAttempt) -> bool:
         """Return whether the attempt is still waiting for its image."""
         task = self.tasks.get(key)
--- a/src/beamspar/machines/resources.py
+++ b/src/beamspar/machines/resources.py
@@ -6,6 +6,7 @@
 
 from beamspar.placement import RESOURCE_TOLERANCE
 from beamspar.protocol.peer_messages import DesiredAttempt
+from beamspar.protocol.task_entries import max_entry_bytes
 
 
 class Resources(NamedTuple):
@@ -14,6 +15,8 @@
     cpus: float
     gpus: float
     memory_gb: float
+    # Bytes of the worker's heartbeat, which lists its tasks.
+    heartbeat_bytes: int
 
     def covers(self, desired: DesiredAttempt) -> bool:
         """Return whether there is enough of each resource for the attempt."""
@@ -21,6 +24,7 @@
             desired.cpus <= self.cpus + RESOURCE_TOLERANCE
             and desired.gpus <= self.gpus + RESOURCE_TOLERANCE
             and desired.memory_gb <= self.memory_gb + RESOURCE_TOLERANCE
+            and max_entry_bytes(len(desired.task)) <= self.heartbeat_bytes
         )
 
     def plus(self, desired: DesiredAttempt) -> Resources:
@@ -29,6 +33,7 @@
             self.cpus + desired.cpus,
             self.gpus + desired.gpus,
             self.memory_gb + desired.memory_gb,
+            self.heartbeat_bytes + max_entry_bytes(len(desired.task)),
         )
 
     def minus(self, desired: DesiredAttempt) -> Resources:
@@ -37,7 +42,8 @@
             self.cpus - desired.cpus,
             self.gpus - desired.gpus,
             self.memory_gb - desired.memory_gb,
+            self.heartbeat_bytes - max_entry_bytes(len(desired.task)),
         )
 
 
-NO_RESOURCES = Resources(0.0, 0.0, 0.0)
+NO_RESOURCES = Resources(0.0, 0.0, 0.0, 0)
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -94,6 +94,7 @@
         spec.cpus <= capacity.cpus + RESOURCE_TOLERANCE
         and spec.gpus <= capacity.gpus + RESOURCE_TOLERANCE
         and spec.memory_gb <= capacity.memory_gb + RESOURCE_TOLERANCE
+        and spec.max_entry_bytes <= capacity.free_heartbeat_bytes
     )
 
 
@@ -280,23 +281,12 @@
     need no preemption.
     """
     by_name = {capacity.name: capacity for capacity in capacities}
-    enlarged = [_after_preemption(spec, capacity) for capacity in capacities]
+    enlarged = [capacity.after_preemption(spec.rank) for capacity in capacities]
     return [
         by_name[capacity.name] for capacity in choose_group(spec, count, enlarged, {}, {}, avoid)
     ]
 
 
-def _after_preemption(spec: JobSpec, capacity: MachineCapacity) -> MachineCapacity:
-    """Return the machine's free capacity with all work of lower priority than the job stopped."""
-    enlarged = copy_capacity(capacity)
-    if spec.rank < len(capacity.preemptible):
-        cpus, gpus, memory_gb = capacity.preemptible[spec.rank]
-        enlarged.cpus += cpus
-        enlarged.gpus += gpus
-        enlarged.memory_gb += memory_gb
-    return enlarged
-
-
 def _fits_after_preemption(spec: JobSpec, capacity: MachineCapacity) -> bool:
     """Return whether a task would fit once all lower-priority work is preempted.
 
@@ -309,6 +299,7 @@
         spec.cpus <= capacity.cpus + cpus + RESOURCE_TOLERANCE
         and spec.gpus <= capacity.gpus + gpus + RESOURCE_TOLERANCE
         and spec.memory_gb <= capacity.memory_gb + memory_gb + RESOURCE_TOLERANCE
+        and spec.max_entry_bytes <= capacity.heartbeat_bytes_after_preemption(spec.rank)
     )
 
 
@@ -373,7 +364,8 @@
         )
         if needed > 0
     ]
-    return max(min(counts, default=0), 0)
+    counts.append(capacity.free_heartbeat_bytes // spec.max_entry_bytes)
+    return max(min(counts), 0)
 
 
 def total_fitting_task_count(spec: JobSpec, capacities: Iterable[MachineCapacity]) -> int:
--- a/src/beamspar/protocol/machine_capacity.py
+++ b/src/beamspar/protocol/machine_capacity.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from beamspar.protocol.jobs import JobSpec
+from beamspar.protocol.task_entries import MAX_LIST_BYTES
+
+# Most machines have few tasks: the free bytes of a heartbeat are reported only below this number.
+MAX_REPORTED_HEARTBEAT_BYTES = MAX_LIST_BYTES // 2
 
 
 class MachineCapacity(msgspec.Struct):
@@ -32,10 +37,44 @@
     tasks: int = 0
     # The number of images being fetched, which share the machine's download rate.
     fetching: int = 0
+    # The free bytes of the worker's heartbeat, which lists its tasks; unset if there are at least
+    # MAX_REPORTED_HEARTBEAT_BYTES, or if its controller runs a release that doesn't report them.
+    heartbeat_bytes: int | UnsetType = UNSET
+    # By priority rank: the bytes there that would become free if all tasks of lower priority were
+    # preempted; unset together with the free bytes.
+    preemptible_heartbeat_bytes: list[int] | UnsetType = UNSET
+
+    @property
+    def free_heartbeat_bytes(self) -> int:
+        """The bytes of the worker's heartbeat that the entries of further tasks may take."""
+        if self.heartbeat_bytes is UNSET:
+            return MAX_REPORTED_HEARTBEAT_BYTES
+        return self.heartbeat_bytes
+
+    def reserve(self, spec: JobSpec, count: int = 1) -> None:
+        """Reserve the resources for `count` more tasks of the job."""
+        self.cpus -= count * spec.cpus
+        self.gpus -= count * spec.gpus
+        self.memory_gb -= count * spec.memory_gb
+        self.heartbeat_bytes = self.free_heartbeat_bytes - count * spec.max_entry_bytes
+        self.tasks += count
+
+    def heartbeat_bytes_after_preemption(self, rank: int) -> int:
+        """Return the free bytes of the heartbeat once all tasks of lower priority have stopped."""
+        by_rank = self.preemptible_heartbeat_bytes
+        if by_rank is UNSET:
+            return self.free_heartbeat_bytes
+        return self.free_heartbeat_bytes + by_rank[rank]
 
-    def reserve(self, spec: JobSpec) -> None:
-        """Reserve the resources for one more task of the job."""
-        self.cpus -= spec.cpus
-        self.gpus -= spec.gpus
-        self.memory_gb -= spec.memory_gb
-        self.tasks += 1
+    def after_preemption(self, rank: int) -> MachineCapacity:
+        """Return a copy with all tasks of lower priority stopped."""
+        if rank >= len(self.preemptible):
+            return msgspec.structs.replace(self)
+        cpus, gpus, memory_gb = self.preemptible[rank]
+        return msgspec.structs.replace(
+            self,
+            cpus=self.cpus + cpus,
+            gpus=self.gpus + gpus,
+            memory_gb=self.memory_gb + memory_gb,
+            heartbeat_bytes=self.heartbeat_bytes_after_preemption(rank),
+        )
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections.abc import Callable
 from typing import Any
@@ -15,6 +16,11 @@
 from tests.standins.gangs import Gangs
 from tests.standins.net import Network
 
+# The public protocol limits the JSON form of the bodies that workers send and receive.
+MAX_JSON_BYTES = 64 * 1024
+# A body that is smaller than this in MessagePack is within the limit in JSON, too.
+SMALL_BODY_BYTES = MAX_JSON_BYTES // 3
+
 
 class Worker:
     """The worker of one machine: enforces fencing tokens and its lease, and runs tasks."""
@@ -128,6 +134,10 @@
         sent_at, agent_epoch = self.clock.seconds(), self.agent_epoch
         self.last_sent = sent_at
         body = pack(self.next_heartbeat())
+        if not self._is_within_limit("a heartbeat", body):
+            # A worker can't send it, so that its lease runs out.
+            self.is_heartbeat_in_flight = False
+            return
         self.sent_heartbeats.append(body)
         self.on_heartbeat(body)
         call = self.network.request(
@@ -139,6 +149,16 @@
             lambda _: self._try_next_controller(),
         )
 
+    def _is_within_limit(self, description: str, body: bytes) -> bool:
+        """Return whether a body is within the protocol's limit; one beyond it is a violation."""
+        size = len(json.dumps(unpack(body))) if len(body) > SMALL_BODY_BYTES else 0
+        if size > MAX_JSON_BYTES:
+            self.checker.report_violation(
+                "body_limit",
+                f"{description} of {self.name} has {size} bytes, {len(self.tasks)} tasks",
+            )
+        return size <= MAX_JSON_BYTES
+
     def _try_next_controller(self) -> None:
         self.is_heartbeat_in_flight = False
         names = sorted(self.controllers)
@@ -147,6 +167,7 @@
 
     def _on_response(self, response: HttpResponse, sent_at: float, agent_epoch: int) -> None:
         self.is_heartbeat_in_flight = False
+        self._is_within_limit("a response to a heartbeat", response.body)
         data = unpack(response.body) if response.body else {}
         if (
             response.status == 421
@@ -182,6 +203,7 @@
         if self.dead:
             return HttpResponse(500)
         if call.path == "/orders":
+            self._is_within_limit("a list of commands", call.body)
             body = unpack(call.body)
             if body["baton"] < self.fencing_token or body["shift"] != self.agent_epoch:
                 return HttpResponse(409, pack(self.next_heartbeat()))
--- a/tests/test_command_planning.py
+++ b/tests/test_command_planning.py
@@ -18,6 +18,7 @@
 from beamspar.machines.resources import Resources
 from beamspar.protocol.cloud import MachineType
 from beamspar.protocol.peer_messages import AttemptState, DesiredAction, DesiredAttempt
+from beamspar.protocol.task_entries import MAX_LIST_BYTES
 from beamspar.protocol.workers import ClearCommand, StartCommand, StopCommand, TaskStatus
 from beamspar.settings import OperatorSettings
 from beamspar.state.control_records import Machine
@@ -177,7 +178,7 @@
     ]
     desired = desired_attempt(KEY, DesiredAction.RUN, 4.0, rank=1)
     host = machine(desired, *lower)
-    free = Resources(0.0, 0.0, 16.0)
+    free = Resources(0.0, 0.0, 16.0, MAX_LIST_BYTES)
     victims = choose_victims(host, KEY, desired, free)
     assert victims is not None
     assert [key.task for key, _ in victims] == ["j-low-2/0", "j-low-1/0"]
@@ -185,4 +186,4 @@
         choose_victims(host, KEY, desired_attempt(KEY, DesiredAction.RUN, 5.0, rank=1), free)
         is None
     )
-    assert choose_victims(host, KEY, desired, Resources(4.0, 0.0, 16.0)) == []
+    assert choose_victims(host, KEY, desired, Resources(4.0, 0.0, 16.0, MAX_LIST_BYTES)) == []
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -102,7 +102,9 @@
 
 def capacity() -> Any:
     free = (88.5, 6.5, 700.25, {"img-07": 6.5}, [(1.5, 2.5, 3.5)])
-    return MachineCapacity("host-7", "g8", "b", True, *free, False, 3, 2)
+    return MachineCapacity(
+        "host-7", "g8", "b", True, *free, False, 3, 2, 1500, [120, 240, 360, 480]
+    )
 
 
 def machine_status() -> Any:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,6 +16,7 @@
 from beamspar.leader.cloud_client import CloudUnavailableError, InstancePage
 from beamspar.leader.instance_manager import PAGE_RETRIES, InstanceManager
 from beamspar.machines.machine_controller import MachineController
+from beamspar.machines.managed_machine import AttemptKey
 from beamspar.protocol.cloud import Instance, MachineType
 from beamspar.protocol.peer_messages import (
     MAX_MACHINE_STATUSES,
@@ -54,9 +55,9 @@
     )
     for number, machine in enumerate(controller.machines.values()):
         for index in range(TASKS_EACH):
-            key = (f"j-{number}/{index}", 1)
+            key = AttemptKey(f"j-{number}/{index}", 1)
             machine.desired_attempts[key] = DesiredAttempt(
-                machine.info.name, 5, key[0], 1, "run", 1.0, 0.5, 3.25
+                machine.info.name, 5, key.task, 1, "run", 1.0, 0.5, 3.25
             )
             machine.images[f"image-of-a-long-name-{number}-{index}"] = 16.125
     return clock, registration, controller
