Commands beyond one message to a worker follow in the next one

Stops for more than some 900 tasks of one machine, possible on machines that an earlier release has filled, made a message of more than 64 KiB, which a worker may refuse for ever.

Change: replies to heartbeats and direct messages carry the first commands that fit, counted by their longest form. The others stay due and follow after the reply.

Evidence: the new test needs the new function; 1,500 stops and 1,500 starts are cut to what one message holds, for IDs of 8 and of 102 characters.

--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -11,7 +11,7 @@
 from beamspar.machines.reconciler import Reconciler
 from beamspar.machines.worker_client import CommandResult, WorkerClient
 from beamspar.machines.worker_observation import WorkerObserver
-from beamspar.protocol.workers import Command, StartCommand
+from beamspar.protocol.workers import Command, StartCommand, first_commands
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock, run_in_background
 from beamspar.transport.http import CallFailedError
@@ -39,9 +39,12 @@
         self.reconciler = reconciler
 
     def send_in_background(self, machine: ManagedMachine, commands: list[Command]) -> None:
-        """Send the commands in the background; an empty list only requests a heartbeat."""
+        """Send the commands in the background; an empty list only requests a heartbeat.
+
+        Commands that don't fit into one message are still due, and follow after its reply.
+        """
         machine.is_sending_commands = True
-        run_in_background(self._send(machine, commands), "commands")
+        run_in_background(self._send(machine, first_commands(commands)), "commands")
 
     async def _send(self, machine: ManagedMachine, commands: list[Command]) -> None:
         epoch, token = machine.agent_epoch, machine.command_token
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -36,7 +36,7 @@
     DesiredStateUpdate,
     MachineStatus,
 )
-from beamspar.protocol.workers import Command, TaskState, WorkerHeartbeat
+from beamspar.protocol.workers import Command, TaskState, WorkerHeartbeat, first_commands
 from beamspar.state import keys
 from beamspar.state.control_records import Machine, MachineShard
 from beamspar.timeouts import Timeouts
@@ -232,7 +232,7 @@
             return HeartbeatReply(machine.command_token, [])
         # Every reply carries the stops that are due: a command request to a machine that hangs
         # may still be pending, and no other is sent until it completes.
-        commands = self.planner.plan_stops_and_clears(machine)
+        commands = first_commands(self.planner.plan_stops_and_clears(machine))
         self.reconcile(machine)
         return HeartbeatReply(machine.command_token, commands)
 
--- a/src/beamspar/protocol/workers.py
+++ b/src/beamspar/protocol/workers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from beamspar.protocol.codec import InvalidInputError, pack
+from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_entry_bytes
 
 
 class TaskState(StrEnum):
@@ -107,6 +108,16 @@
 Command = StartCommand | StopCommand | ClearCommand
 
 
+def first_commands(commands: list[Command]) -> list[Command]:
+    """Return the first of these commands, as many as one message may carry."""
+    size = 0
+    for count, command in enumerate(commands):
+        size += max_entry_bytes(len(command.task))
+        if size > MAX_LIST_BYTES:
+            return commands[:count]
+    return commands
+
+
 def encode_commands(fencing_token: int, agent_epoch: int, commands: list[Command]) -> bytes:
     """Return the request body of direct commands."""
     return pack({"baton": fencing_token, "shift": agent_epoch, "orders": commands})
--- a/tests/test_heartbeat_size.py
+++ b/tests/test_heartbeat_size.py
@@ -14,7 +14,15 @@
 from beamspar.protocol.jobs import MAX_TASKS, JobSpec
 from beamspar.protocol.machine_capacity import MAX_REPORTED_HEARTBEAT_BYTES, MachineCapacity
 from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_entry_bytes
-from beamspar.protocol.workers import TaskStatus, WorkerHeartbeat
+from beamspar.protocol.workers import (
+    Command,
+    StartCommand,
+    StopCommand,
+    TaskStatus,
+    WorkerHeartbeat,
+    encode_commands,
+    first_commands,
+)
 from beamspar.state.control_records import Machine
 from tests.standins.world import ZONES, World
 
@@ -88,6 +96,20 @@
     assert json_size(heartbeat) <= BODY_LIMIT
 
 
+@pytest.mark.parametrize("job_id", ["j-000412", LONGEST_ID])
+def test_commands_beyond_one_message_are_left_to_the_next_one(job_id: str) -> None:
+    commands: list[Command] = [
+        StopCommand(f"{job_id}/{number}", LARGEST_NUMBER, 1234.567) for number in range(1500)
+    ]
+    commands += [StartCommand(f"{job_id}/{number}", 1) for number in range(1500)]
+    sent = first_commands(commands)
+    assert 200 < len(sent) < len(commands)
+    assert sent == commands[: len(sent)]
+    body = msgspec.msgpack.decode(encode_commands(LARGEST_NUMBER, LARGEST_NUMBER, sent))
+    assert json_size(body) <= BODY_LIMIT
+    assert first_commands(commands[:10]) == commands[:10]
+
+
 def small_spec(**fields: Any) -> JobSpec:
     spec = JobSpec("j-1", "tiny", "red", "sweep", "normal", 100_000, 0.0, 0.0, 0.0, "img", 1.0)
     return msgspec.structs.replace(spec, **fields)
