A machine's list of tasks counts with its present size; crowded machines are read

No machine is lost any more, but the array is not done within 90 s: counted with the longest entries that tasks could ever have, 496 tasks filled the only machine, where some 1,200 can run.

Cause: a bound on all future entries halves a machine, and still fails for a worker whose entries are longer than assumed.

Change: entries count with the size that they have now. When many tasks end at once, the list exceeds the heartbeat until the ends are stored and cleared. So a machine whose list could come to that is crowded: its tasks are read with direct messages, whose replies have no limit, while heartbeats stay out, nothing is started until one arrives, and such a reply is a sign of life. A crowded machine whose worker's lease expires all the same gets a quarter fewer tasks, so that no encoding of workers makes it fail again and again.

The new tests: all tasks of a full machine end at once (one heartbeat too large to send, the machine kept), tasks of 3 s that end as others start, all cancelled at once, a worker with longer entries (two leases lost, then none).

--- a/src/beamspar/machines/command_planning.py
+++ b/src/beamspar/machines/command_planning.py
@@ -108,7 +108,10 @@
             and key not in machine.tasks
             and key not in machine.terminated
         ]
-        are_starts_paused = machine.starts_paused_until > self.clock.seconds()
+        are_starts_paused = (
+            machine.starts_paused_until > self.clock.seconds()
+            or self.summaries.crowding.are_starts_paused(machine)
+        )
         for key, desired in sorted(absent, key=lambda item: item[1].rank):
             # Decided and applied one at a time, because each decision changes the state that the
             # next one is based on.
@@ -249,6 +252,7 @@
             and not due
             and not machine.failed_sends
             and not machine.orphaned
+            and not self.summaries.crowding.are_starts_paused(machine)
             and all(
                 key in machine.desired_attempts
                 for key in machine.pending_keys
--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -62,6 +62,7 @@
             return
         machine.is_sending_commands = False
         machine.failed_sends = 0
+        machine.last_reply_at = self.clock.seconds()
         _record_outcome(machine, sent_starts, result)
         # Compares with the epoch that was sent, as `machine.agent_epoch` may have changed since.
         is_epoch_outdated = epoch != result.heartbeat.agent_epoch
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -278,7 +278,12 @@
         # Even without commands, a message is sent if the worker has not confirmed the command token
         # or the last message failed: the machine is unusable until the worker replies. Until the
         # token is confirmed, the message carries no commands.
-        if not machine.has_confirmed_token or commands or machine.failed_sends:
+        is_reply_wanted = (
+            not machine.has_confirmed_token
+            or bool(machine.failed_sends)
+            or self.summaries.crowding.is_read_due(machine)
+        )
+        if commands or is_reply_wanted:
             self.sender.send_in_background(machine, commands if machine.has_confirmed_token else [])
 
     def pause_starts(self, machine: ManagedMachine, until: float) -> None:
@@ -312,7 +317,7 @@
             if not machine.is_expired and mirror_valid_until > lease_end:
                 self.observer.expire(machine)
                 self.publisher.publish(machine)
-            if machine.is_converged:
+            if machine.is_converged and not self.summaries.crowding.is_read_due(machine):
                 continue
             if machine.has_confirmed_token:
                 self.orphan_detector.check(machine, now)
--- a/src/beamspar/machines/machine_summaries.py
+++ b/src/beamspar/machines/machine_summaries.py
@@ -6,12 +6,12 @@
 
 from msgspec import UNSET
 
+from beamspar.machines.crowding import Crowding, last_heard_at
 from beamspar.machines.managed_machine import AttemptKey, Attempts, ManagedMachine
 from beamspar.machines.resources import NO_RESOURCES, Resources
 from beamspar.protocol.cloud import MachineType
 from beamspar.protocol.machine_capacity import MAX_REPORTED_HEARTBEAT_BYTES, MachineCapacity
 from beamspar.protocol.peer_messages import MachineStatus
-from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_entry_bytes
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock
 
@@ -31,6 +31,7 @@
         self.clock = clock
         self.timeouts = timeouts
         self.types = types
+        self.crowding = Crowding(clock, timeouts)
         self.change_count = 0
 
     def is_usable(self, machine: ManagedMachine) -> bool:
@@ -46,6 +47,7 @@
             # its heartbeats don't arrive, gets no new work either.
             and machine.failed_sends < MAX_FAILED_SENDS
             and self.clock.seconds() - machine.last_heartbeat_at < self.timeouts.silence_timeout_s
+            and not self.crowding.are_starts_paused(machine)
         )
 
     def free_resources(
@@ -63,7 +65,7 @@
             kind.cpus - reserved.cpus,
             kind.gpus - reserved.gpus,
             kind.memory_gb - reserved.memory_gb,
-            MAX_LIST_BYTES - reserved.heartbeat_bytes,
+            machine.max_list_bytes - reserved.heartbeat_bytes,
         )
 
     def capacity(self, machine: ManagedMachine) -> MachineCapacity:
@@ -111,7 +113,7 @@
 
     def _is_silent(self, machine: ManagedMachine, now: float) -> bool:
         """Return whether the machine has been silent for long enough to report it to the leader."""
-        return now - machine.last_heartbeat_at > self.timeouts.silence_timeout_s / 2
+        return now - last_heard_at(machine) > self.timeouts.silence_timeout_s / 2
 
     def _status(self, machine: ManagedMachine, now: float) -> MachineStatus:
         # A silent machine is reported as long as it is silent, and once more afterwards.
@@ -125,7 +127,7 @@
             machine.is_degraded,
             machine.termination_notice_s is not None,
             machine.is_draining,
-            now - machine.last_heartbeat_at,
+            now - last_heard_at(machine),
             now - machine.idle_since,
         )
 
@@ -153,7 +155,7 @@
         fetching=_count_awaited_images(machine, live),
         heartbeat_bytes=free.heartbeat_bytes if is_heartbeat_reported else UNSET,
         preemptible_heartbeat_bytes=(
-            _preemptible_heartbeat_bytes(preemptible) if is_heartbeat_reported else UNSET
+            _preemptible_heartbeat_bytes(machine, preemptible) if is_heartbeat_reported else UNSET
         ),
     )
 
@@ -169,12 +171,12 @@
     return [(cpus, gpus, memory_gb) for cpus, gpus, memory_gb in by_rank]
 
 
-def _preemptible_heartbeat_bytes(attempts: Attempts) -> list[int]:
+def _preemptible_heartbeat_bytes(machine: ManagedMachine, attempts: Attempts) -> list[int]:
     """Return, for each priority rank, the bytes of the heartbeat for attempts of lower priority."""
     by_rank = [0] * PRIORITY_RANKS
     for key, desired in attempts.items():
         for rank in range(min(desired.rank, PRIORITY_RANKS)):
-            by_rank[rank] += max_entry_bytes(len(key.task))
+            by_rank[rank] += machine.entry_bytes(key)
     return by_rank
 
 
--- a/src/beamspar/machines/managed_machine.py
+++ b/src/beamspar/machines/managed_machine.py
@@ -11,7 +11,7 @@
 from beamspar.machines.resources import Resources
 from beamspar.protocol.machine_capacity import MachineCapacity
 from beamspar.protocol.peer_messages import AttemptState, DesiredAction, DesiredAttempt
-from beamspar.protocol.task_entries import max_entry_bytes
+from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_live_entry_bytes
 from beamspar.protocol.workers import TaskState, TaskStatus
 from beamspar.state.control_records import Machine
 
@@ -107,6 +107,8 @@
     # count, because a worker that can't reach this controller still replies to commands.
     last_heartbeat_id: HeartbeatId = NO_HEARTBEAT
     last_heartbeat_at: float = field(init=False)
+    # When the last reply to a direct message was received.
+    last_reply_at: float = NEVER
     # When this controller last answered the worker.
     answered_at: float = NEVER
     # Whether no previous holder of the machine can answer its worker any more.
@@ -136,6 +138,8 @@
     # Attempts that are preempted by others of higher priority, with the grace period in seconds in
     # which they may save their progress.
     preempted: dict[AttemptKey, float] = field(default_factory=dict)
+    # The bytes of the worker's heartbeat that its list of tasks may take.
+    max_list_bytes: int = MAX_LIST_BYTES
     # Attempts for which something may be due. All others were in their desired state, and their
     # job controller was informed of it, when they were last checked: a machine may have hundreds
     # of attempts, of which few change.
@@ -221,26 +225,31 @@
         """
         if self.reserved is None:
             cpus = gpus = memory_gb = 0.0
-            heartbeat_bytes = sum(max_entry_bytes(len(key.task)) for key in self.tasks)
+            heartbeat_bytes = sum(task.entry_bytes for task in self.tasks.values())
             for key, desired in self.desired_attempts.items():
                 if self.is_live(key):
                     cpus += desired.cpus
                     gpus += desired.gpus
                     memory_gb += desired.memory_gb
                     if key not in self.tasks:
-                        heartbeat_bytes += max_entry_bytes(len(key.task))
+                        heartbeat_bytes += self.entry_bytes(key)
             self.reserved = Resources(cpus, gpus, memory_gb, heartbeat_bytes)
         excluded = self.desired_attempts.get(excluding) if excluding is not None else None
         if excluding is None or excluded is None or not self.is_live(excluding):
             return self.reserved
         return self.reserved.minus(excluded)
 
+    def entry_bytes(self, key: AttemptKey) -> int:
+        """Return the bytes that the attempt takes or will take in the worker's heartbeat."""
+        task = self.tasks.get(key)
+        if task is None:
+            return max_live_entry_bytes(len(key.task), key.attempt)
+        return task.entry_bytes
+
     def ended_heartbeat_bytes(self) -> int:
         """Return the bytes of the heartbeat that become free as ended tasks are cleared."""
         return sum(
-            max_entry_bytes(len(key.task))
-            for key, task in self.tasks.items()
-            if task.status == TaskState.ENDED
+            task.entry_bytes for task in self.tasks.values() if task.status == TaskState.ENDED
         )
 
     def is_awaiting_image(self, key: AttemptKey, desired: DesiredAttempt) -> bool:
--- a/src/beamspar/machines/resources.py
+++ b/src/beamspar/machines/resources.py
@@ -6,7 +6,7 @@
 
 from beamspar.placement import RESOURCE_TOLERANCE
 from beamspar.protocol.peer_messages import DesiredAttempt
-from beamspar.protocol.task_entries import max_entry_bytes
+from beamspar.protocol.task_entries import max_live_entry_bytes
 
 
 class Resources(NamedTuple):
@@ -24,7 +24,7 @@
             desired.cpus <= self.cpus + RESOURCE_TOLERANCE
             and desired.gpus <= self.gpus + RESOURCE_TOLERANCE
             and desired.memory_gb <= self.memory_gb + RESOURCE_TOLERANCE
-            and max_entry_bytes(len(desired.task)) <= self.heartbeat_bytes
+            and _entry_bytes(desired) <= self.heartbeat_bytes
         )
 
     def plus(self, desired: DesiredAttempt) -> Resources:
@@ -33,7 +33,7 @@
             self.cpus + desired.cpus,
             self.gpus + desired.gpus,
             self.memory_gb + desired.memory_gb,
-            self.heartbeat_bytes + max_entry_bytes(len(desired.task)),
+            self.heartbeat_bytes + _entry_bytes(desired),
         )
 
     def minus(self, desired: DesiredAttempt) -> Resources:
@@ -42,8 +42,12 @@
             self.cpus - desired.cpus,
             self.gpus - desired.gpus,
             self.memory_gb - desired.memory_gb,
-            self.heartbeat_bytes - max_entry_bytes(len(desired.task)),
+            self.heartbeat_bytes - _entry_bytes(desired),
         )
 
 
+def _entry_bytes(desired: DesiredAttempt) -> int:
+    return max_live_entry_bytes(len(desired.task), desired.attempt)
+
+
 NO_RESOURCES = Resources(0.0, 0.0, 0.0, 0)
--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -10,6 +10,7 @@
 
 from twisted.logger import Logger
 
+from beamspar.machines.crowding import observe_lease_expiry
 from beamspar.machines.fault_evidence import FaultEvidence
 from beamspar.machines.image_caches import ImageCaches
 from beamspar.machines.managed_machine import AttemptKey, HeartbeatId, ManagedMachine
@@ -99,6 +100,7 @@
             "{machine}: the worker's lease has expired, its attempts are gone",
             machine=machine.info.name,
         )
+        observe_lease_expiry(machine)
         machine.is_expired = True
         machine.has_confirmed_token = False
         machine.min_agent_epoch = machine.agent_epoch + 1 if machine.agent_epoch else 0
@@ -112,6 +114,7 @@
         # A new epoch begins with a full lease even if no heartbeat was answered: after an outage,
         # tasks of this epoch may be running although the last answer was sent long ago.
         self._record_answer(machine)
+        observe_lease_expiry(machine)
         for key, start in list(machine.starts.items()):
             if start.agent_epoch < agent_epoch:
                 # Its attempt was killed when that epoch ended, and the worker does not execute
--- a/src/beamspar/protocol/jobs.py
+++ b/src/beamspar/protocol/jobs.py
@@ -10,12 +10,10 @@
 import msgspec
 
 from beamspar.protocol.codec import InvalidInputError
-from beamspar.protocol.task_entries import max_entry_bytes
+from beamspar.protocol.task_entries import max_live_entry_bytes
 
 # The maximum number of tasks of a job, as fixed by the public protocol.
 MAX_TASKS = 100_000
-# The length of what follows the job's ID in the longest name of a task, such as "/99999".
-_TASK_SUFFIX_LENGTH = len(f"/{MAX_TASKS - 1}")
 JOB_ID = re.compile(r"j-[A-Za-z0-9_.:-]{1,100}\Z")
 # Priorities and their ranks: tasks with a higher rank number are preempted first.
 PRIORITIES = {"critical": 0, "high": 1, "normal": 2, "low": 3}
@@ -81,8 +79,8 @@
 
     @property
     def max_entry_bytes(self) -> int:
-        """The most bytes that a task of the job takes in its worker's heartbeat."""
-        return max_entry_bytes(len(self.id) + _TASK_SUFFIX_LENGTH)
+        """The most bytes that a new task of the job takes in its worker's heartbeat."""
+        return max_live_entry_bytes(len(f"{self.id}/{self.tasks - 1}"))
 
     @property
     def is_service(self) -> bool:
--- a/src/beamspar/protocol/machine_capacity.py
+++ b/src/beamspar/protocol/machine_capacity.py
@@ -9,6 +9,7 @@
 from beamspar.protocol.task_entries import MAX_LIST_BYTES
 
 # Most machines have few tasks: the free bytes of a heartbeat are reported only below this number.
+# The entry of a task may double in size when it ends.
 MAX_REPORTED_HEARTBEAT_BYTES = MAX_LIST_BYTES // 2
 
 
--- a/src/beamspar/protocol/workers.py
+++ b/src/beamspar/protocol/workers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from beamspar.protocol.codec import InvalidInputError, pack
-from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_entry_bytes
+from beamspar.protocol.task_entries import MAX_LIST_BYTES, entry_bytes
 
 
 class TaskState(StrEnum):
@@ -46,6 +46,13 @@
     # For a stopped task, whether it saved a checkpoint.
     saved: bool | None = None
 
+    @property
+    def entry_bytes(self) -> int:
+        """The bytes that the task takes in the JSON form of a heartbeat."""
+        return entry_bytes(
+            self.task, self.attempt, self.status, self.exit_reason, self.saved is not None
+        )
+
 
 class WorkerHeartbeat(msgspec.Struct):
     """A heartbeat, in which a worker reports its state; ordered by (agent_epoch, seq)."""
@@ -104,6 +111,9 @@
     attempt: int = msgspec.field(name="try")
 
 
+# The most bytes of JSON that a command takes, without the task's name.
+_MAX_COMMAND_BYTES = 100
+
 # A worker executes a list of commands in order.
 Command = StartCommand | StopCommand | ClearCommand
 
@@ -112,7 +122,7 @@
     """Return the first of these commands, as many as one message may carry."""
     size = 0
     for count, command in enumerate(commands):
-        size += max_entry_bytes(len(command.task))
+        size += _MAX_COMMAND_BYTES + len(command.task)
         if size > MAX_LIST_BYTES:
             return commands[:count]
     return commands
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import random
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from beamspar.protocol.codec import pack, unpack
@@ -22,9 +22,18 @@
 SMALL_BODY_BYTES = MAX_JSON_BYTES // 3
 
 
+def json_size(body: bytes | None) -> int:
+    """Return the bytes of a message in JSON; 0 if it is small."""
+    if not body or len(body) < SMALL_BODY_BYTES:
+        return 0
+    return len(msgspec.json.encode(unpack(body)))
+
+
 class Worker:
     """The worker of one machine: enforces fencing tokens and its lease, and runs tasks."""
 
+    # Whether its heartbeats omit fields of tasks that are null; the protocol allows both.
+    OMITS_NULLS = False
     # How long it waits for a response to a heartbeat, and how long until it tries the next node.
     RESPONSE_TIMEOUT_S = 4.0
     RETRY_S = 1.0
@@ -50,6 +59,8 @@
         self.termination_notice_s: float | None = None
         self.last_sent = -1e9
         self.sent_heartbeats: list[bytes] = []
+        # The number of heartbeats that were too large to be sent.
+        self.oversized_heartbeats = 0
         # Called with each sent heartbeat, so that copies of it can be delivered again.
         self.on_heartbeat: Callable[[bytes], None] = lambda body: None
         # Called with the machine, the fencing token of each accepted heartbeat response or command
@@ -105,12 +116,17 @@
             "rig": self.name, "address": self.address, "rig_kind": self.kind["label"],
             "yard": self.zone, "standby": self.spot, "shift": self.agent_epoch, "tally": self.seq,
             "baton": self.fencing_token, "recall_s": self.termination_notice_s,
-            "parcels": [
-                {"parcel": t, "try": a, "status": s["status"], "exit_cause": s.get("why"),
-                 "saved": s.get("saved")}
-                for (t, a), s in self.tasks.items()
-            ],
+            "parcels": [self._entry(t, a, s) for (t, a), s in self.tasks.items()],
+        }  # fmt: skip
+
+    def _entry(self, task: str, attempt: int, state: dict[str, Any]) -> dict[str, Any]:
+        entry = {
+            "parcel": task, "try": attempt, "status": state["status"],
+            "exit_cause": state.get("why"), "saved": state.get("saved"),
         }  # fmt: skip
+        if self.OMITS_NULLS:
+            return {key: value for key, value in entry.items() if value is not None}
+        return entry
 
     def _heartbeat_loop(self) -> None:
         if self.dead:
@@ -134,8 +150,9 @@
         sent_at, agent_epoch = self.clock.seconds(), self.agent_epoch
         self.last_sent = sent_at
         body = pack(self.next_heartbeat())
-        if not self._is_within_limit("a heartbeat", body):
-            # A worker can't send it, so that its lease runs out.
+        if json_size(body) > MAX_JSON_BYTES:
+            # A worker can't send it. If no later one is short enough, its lease runs out.
+            self.oversized_heartbeats += 1
             self.is_heartbeat_in_flight = False
             return
         self.sent_heartbeats.append(body)
@@ -149,15 +166,12 @@
             lambda _: self._try_next_controller(),
         )
 
-    def _is_within_limit(self, description: str, body: bytes) -> bool:
-        """Return whether a body is within the protocol's limit; one beyond it is a violation."""
-        size = len(json.dumps(unpack(body))) if len(body) > SMALL_BODY_BYTES else 0
+    def _check_size(self, description: str, body: bytes) -> None:
+        """Report a violation if a body that a controller sent exceeds the protocol's limit."""
+        size = json_size(body)
         if size > MAX_JSON_BYTES:
-            self.checker.report_violation(
-                "body_limit",
-                f"{description} of {self.name} has {size} bytes, {len(self.tasks)} tasks",
-            )
-        return size <= MAX_JSON_BYTES
+            text = f"{description} to {self.name} has {size} bytes"
+            self.checker.report_violation("body_limit", text)
 
     def _try_next_controller(self) -> None:
         self.is_heartbeat_in_flight = False
@@ -167,7 +181,7 @@
 
     def _on_response(self, response: HttpResponse, sent_at: float, agent_epoch: int) -> None:
         self.is_heartbeat_in_flight = False
-        self._is_within_limit("a response to a heartbeat", response.body)
+        self._check_size("a response", response.body)
         data = unpack(response.body) if response.body else {}
         if (
             response.status == 421
@@ -203,7 +217,7 @@
         if self.dead:
             return HttpResponse(500)
         if call.path == "/orders":
-            self._is_within_limit("a list of commands", call.body)
+            self._check_size("a list of commands", call.body)
             body = unpack(call.body)
             if body["baton"] < self.fencing_token or body["shift"] != self.agent_epoch:
                 return HttpResponse(409, pack(self.next_heartbeat()))
--- a/tests/test_heartbeat_size.py
+++ b/tests/test_heartbeat_size.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import msgspec
@@ -13,7 +12,7 @@
 from beamspar.protocol.codec import BODY_LIMIT
 from beamspar.protocol.jobs import MAX_TASKS, JobSpec
 from beamspar.protocol.machine_capacity import MAX_REPORTED_HEARTBEAT_BYTES, MachineCapacity
-from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_entry_bytes
+from beamspar.protocol.task_entries import MAX_LIST_BYTES, max_live_entry_bytes
 from beamspar.protocol.workers import (
     Command,
     StartCommand,
@@ -24,9 +23,10 @@
     first_commands,
 )
 from beamspar.state.control_records import Machine
+from tests.standins.workers import Worker
 from tests.standins.world import ZONES, World
 
-# More tasks than the largest machine type could list, all of which fit on it by their resources.
+# More tasks than a heartbeat could list, all of which fit on one machine by their resources.
 SMALL_TASKS = 2400
 SMALL = {"shape": "sweep", "urgency": "normal", "cpus": 0.01, "memory_gb": 0.1}
 # The longest job ID that is accepted, and the largest number of the protocol.
@@ -34,66 +34,143 @@
 LARGEST_NUMBER = 2**64 - 1
 
 
+@pytest.fixture(autouse=True)
+def workers_omit_nulls(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let workers send heartbeats in their shortest form."""
+    monkeypatch.setattr(Worker, "OMITS_NULLS", True)
+
+
 def world_of_big_machines(count: int) -> World:
-    return World(1, machines=[{"kind": "big", "zone": ZONES[0], "count": count}], capacity=[])
+    world = World(1, machines=[{"kind": "big", "zone": ZONES[0], "count": count}], capacity=[])
+    world.run(6)
+    return world
+
 
+def run_until_done(world: World, job: str, until: float) -> None:
+    """Run until the job is done, before its idle machines are deleted."""
+    while world.status(job) != "done" and world.clock.seconds() < until:
+        world.run(world.clock.seconds() + 1.0)
+    assert world.status(job) == "done"
 
-def json_size(body: Any) -> int:
-    """Return the size in JSON with spaces, the longer one of its usual forms."""
-    return len(json.dumps(msgspec.to_builtins(body)))
+
+def lost_machines(world: World) -> list[str]:
+    """Return the machines that were deleted or whose worker's lease has expired."""
+    workers = world.cloud.workers.values()
+    return [worker.name for worker in workers if worker.dead or worker.agent_epoch > 1]
+
+
+def oversized_heartbeats(world: World) -> int:
+    return sum(worker.oversized_heartbeats for worker in world.cloud.workers.values())
 
 
 def test_an_array_of_small_tasks_does_not_fill_a_machine_beyond_its_heartbeat() -> None:
     # The heartbeat could not be sent, and the machine was deleted as failed with all its tasks.
     world = world_of_big_machines(2)
-    world.run(6)
     world.submit("j-1", parcels=SMALL_TASKS, run_s=20.0, **SMALL)
-    world.run(150)
+    run_until_done(world, "j-1", 60)
+    assert lost_machines(world) == []
+    assert world.checker.broken == []
+
+
+def test_a_full_machine_whose_tasks_end_at_once_is_not_lost() -> None:
+    # The entries of ended tasks are longer: the heartbeat is too large until they are cleared.
+    world = world_of_big_machines(1)
+    world.submit("j-1", parcels=SMALL_TASKS, run_s=20.0, **SMALL)
+    run_until_done(world, "j-1", 80)
+    assert oversized_heartbeats(world) > 0
+    assert lost_machines(world) == []
+    assert world.checker.broken == []
+
+
+def test_a_full_machine_of_very_short_tasks_is_not_lost() -> None:
+    # Tasks end as fast as others start, so that ended ones are listed at all times.
+    world = world_of_big_machines(1)
+    world.submit("j-1", parcels=3 * SMALL_TASKS, run_s=3.0, **SMALL)
+    run_until_done(world, "j-1", 120)
+    assert lost_machines(world) == []
+    assert world.checker.broken == []
+
+
+def test_a_full_machine_whose_tasks_are_all_cancelled_is_not_lost() -> None:
+    # One message can't carry the stops of all tasks.
+    world = world_of_big_machines(1)
+    world.submit("j-1", parcels=SMALL_TASKS, run_s=400.0, **SMALL)
+    world.run(30)
+    assert 1000 < world.running("j-1") < SMALL_TASKS
+    world.cancel("j-1")
+    world.run(45)
+    assert world.running("j-1") == 0
+    assert lost_machines(world) == []
+    assert world.checker.broken == []
+
+
+def test_a_worker_with_longer_entries_than_assumed_is_not_lost_again_and_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The machine got the same number of tasks after each expiry of its worker's lease.
+    monkeypatch.setattr(Worker, "OMITS_NULLS", False)
+    world = world_of_big_machines(1)
+    world.submit("j-1", parcels=SMALL_TASKS, run_s=10.0, **SMALL)
+    run_until_done(world, "j-1", 120)
+    assert [worker.agent_epoch for worker in world.cloud.workers.values()] <= [3]
     assert world.checker.broken == []
-    assert world.status("j-1") == "done"
 
 
 def test_a_critical_service_gets_its_place_on_a_machine_full_of_small_tasks() -> None:
     # Preemption must free the heartbeat's bytes too, not only CPUs and memory.
     world = world_of_big_machines(1)
-    world.run(6)
     world.submit("j-1", parcels=SMALL_TASKS, run_s=400.0, **{**SMALL, "urgency": "low"})
     world.run(60)
-    assert 100 < world.running("j-1") < SMALL_TASKS
+    assert 1000 < world.running("j-1") < SMALL_TASKS
     world.submit("j-2", parcels=2)
     world.run(90)
     assert world.running("j-2") == 2
+    assert lost_machines(world) == []
     assert world.checker.broken == []
 
 
 def test_a_job_with_the_longest_id_fits_into_the_heartbeat_of_its_machine() -> None:
     # The limit must hold for each job that is accepted, not for typical IDs only.
     world = world_of_big_machines(1)
-    world.run(6)
-    world.submit(LONGEST_ID, parcels=SMALL_TASKS, run_s=400.0, **SMALL)
-    world.run(60)
-    assert 100 < world.running(LONGEST_ID) < SMALL_TASKS
+    world.submit(LONGEST_ID, parcels=SMALL_TASKS, run_s=60.0, **SMALL)
+    world.run(30)
+    assert 300 < world.running(LONGEST_ID) < SMALL_TASKS
     world.cancel(LONGEST_ID)
-    world.run(110)
+    world.run(45)
     assert world.running(LONGEST_ID) == 0
+    assert lost_machines(world) == []
     assert world.checker.broken == []
 
 
-def longest_entry(job_id: str) -> TaskStatus:
-    return TaskStatus(
-        f"{job_id}/{MAX_TASKS - 1}", LARGEST_NUMBER, "gathering", "exit_reason", saved=False
-    )
+def json_bytes(message: Any) -> int:
+    """Return the size of a message in JSON, without fields that are null."""
+    fields = msgspec.to_builtins(message)
+    return len(msgspec.json.encode({k: v for k, v in fields.items() if v is not None}))
 
 
-@pytest.mark.parametrize("job_id", ["j-000412", LONGEST_ID])
-def test_a_heartbeat_of_as_many_tasks_as_fit_is_within_the_limit(job_id: str) -> None:
-    entry = longest_entry(job_id)
-    count = MAX_LIST_BYTES // max_entry_bytes(len(entry.task))
+@pytest.mark.parametrize(
+    "status",
+    [
+        TaskStatus("j-000412/3", 2, "running"),
+        TaskStatus(f"{LONGEST_ID}/{MAX_TASKS - 1}", LARGEST_NUMBER, "gathering"),
+        TaskStatus("j-000412/3", 2, "ended", "done"),
+        TaskStatus("j-000412/3", 2, "ended", "stopped", saved=False),
+    ],
+)
+def test_an_entry_is_counted_with_its_size_in_json(status: TaskStatus) -> None:
+    separator = len(",")
+    assert json_bytes(status) + separator <= status.entry_bytes <= json_bytes(status) + 2
+    if status.status != "ended":
+        assert status.entry_bytes <= max_live_entry_bytes(len(status.task), status.attempt)
+
+
+def test_a_heartbeat_has_room_for_its_other_fields() -> None:
     heartbeat = WorkerHeartbeat(
-        "host-000231", "10.1.0.232:9000", "g8", "a", LARGEST_NUMBER, LARGEST_NUMBER,
-        LARGEST_NUMBER, [entry] * count, True, 1234.567,
+        "host-" + "9" * 20, "255.255.255.255:65535", "machine-type-" + "x" * 20,
+        "zone-of-the-cloud-" + "x" * 20, LARGEST_NUMBER, LARGEST_NUMBER, LARGEST_NUMBER, [],
+        False, 1234.567,
     )  # fmt: skip
-    assert json_size(heartbeat) <= BODY_LIMIT
+    assert json_bytes(heartbeat) + MAX_LIST_BYTES <= BODY_LIMIT
 
 
 @pytest.mark.parametrize("job_id", ["j-000412", LONGEST_ID])
@@ -106,7 +183,7 @@
     assert 200 < len(sent) < len(commands)
     assert sent == commands[: len(sent)]
     body = msgspec.msgpack.decode(encode_commands(LARGEST_NUMBER, LARGEST_NUMBER, sent))
-    assert json_size(body) <= BODY_LIMIT
+    assert json_bytes(body) <= BODY_LIMIT
     assert first_commands(commands[:10]) == commands[:10]
 
 
@@ -133,6 +210,6 @@
     machine = ManagedMachine(Machine("m-1", "m-1:90", "big", "east", False), 1, 0.0, 0.0)
     machine.tasks[AttemptKey("j-1/0", 1)] = TaskStatus("j-1/0", 1, "ended", "done")
     machine.tasks[AttemptKey("j-1/1", 1)] = TaskStatus("j-1/1", 1, "running")
-    entry = max_entry_bytes(len("j-1/0"))
-    assert machine.reserved_resources().heartbeat_bytes == 2 * entry
-    assert machine.ended_heartbeat_bytes() == entry
+    sizes = [task.entry_bytes for task in machine.tasks.values()]
+    assert machine.reserved_resources().heartbeat_bytes == sum(sizes)
+    assert machine.ended_heartbeat_bytes() == sizes[0]
