A scale-out plan takes no memory for the tasks of the largest arrays

Two arrays of 100,000 tasks take each leader in its turn beyond its 98 MB; it is killed, again and again, and workers' leases run out meanwhile.

Cause: the needs of a plan are not limited by the fleet (headroom is twice a class's largest job, here 200,000 tasks), and the planner listed an empty machine for each machine that a need takes, although one request creates at most 50.

Change: the planner ends as soon as the request is at its maximum, before it lists the machines. A request grows with the total, so no later need changes it, and what is listed is bounded by 50 machines a zone.

The new test of memory failed before (104,025,348 bytes, allowed 1,000,000) and passes; 27 tests that each request is the zone's part of the machines needed passed before and pass now, so no request changes."

--- a/src/beamspar/leader/scale_out_planning.py
+++ b/src/beamspar/leader/scale_out_planning.py
@@ -62,7 +62,7 @@
         return self.place in places and _type_and_spot(places[0]) == _type_and_spot(self.place)
 
     def next_request(self, total: int) -> ScaleOut:
-        """Return the request for this place's part of `total` machines.
+        """Return the request for this place's part of `total` machines; it grows with `total`.
 
         A large need is spread over the zones: this place's zone, which has the fewest machines,
         is filled up to the number that each zone would have with an even spread.
@@ -104,10 +104,16 @@
             if not places or (group is not None and not group.matches(places)):
                 continue
             group = group or _group_places(places, capacities)
-            created = self._empty_capacities(spec, missing, group.place)
+            empty = self._empty_capacity(group.place)
+            machines = _machines_needed(spec, missing, empty)
+            total += machines
+            if group.next_request(total).machines == MAX_CREATED_AT_ONCE:
+                # The needs are not limited by the fleet: no more machines than one request can
+                # create are ever listed, and no later need can change the request.
+                break
+            created = [copy_capacity(empty) for _ in range(machines)]
             reserve_capacity(spec, missing, created)
             capacities += created
-            total += len(created)
         return group.next_request(total) if group is not None else None
 
     def bind_to_zone(self, spec: JobSpec, count: int, capacities: list[MachineCapacity]) -> JobSpec:
@@ -149,14 +155,14 @@
                     price = kind.spot_price if spot else kind.price
                     yield _Candidate(price / tasks, present, kind.name, zone, spot)
 
-    def _empty_capacities(self, spec: JobSpec, tasks: int, place: Place) -> list[MachineCapacity]:
-        """Return as many empty machines of the place as `tasks` tasks of the job need."""
+    def _empty_capacity(self, place: Place) -> MachineCapacity:
         name, zone, spot = place
-        empty = empty_capacity(self.types[name], zone=zone, spot=spot)
-        return [
-            copy_capacity(empty)
-            for _ in range(-(-tasks // max(total_fitting_task_count(spec, [empty]), 1)))
-        ]
+        return empty_capacity(self.types[name], zone=zone, spot=spot)
+
+
+def _machines_needed(spec: JobSpec, tasks: int, empty: MachineCapacity) -> int:
+    """Return how many of these empty machines the tasks need."""
+    return -(-tasks // max(total_fitting_task_count(spec, [empty]), 1))
 
 
 def reserve_capacity(spec: JobSpec, count: int, capacities: Iterable[MachineCapacity]) -> int:
--- a/tests/test_instance_manager.py
+++ b/tests/test_instance_manager.py
@@ -6,12 +6,17 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from typing import Any
 
+import msgspec
+import pytest
+
 from beamspar.decision_log.decisions import BootingMachine
 from beamspar.leader.instance_manager import InstanceManager
+from beamspar.leader.scale_out_planning import MAX_CREATED_AT_ONCE, ScaleOutPlanner
 from beamspar.protocol.cloud import MachineType
-from beamspar.protocol.jobs import JobSpec
+from beamspar.protocol.jobs import MAX_TASKS, JobSpec
 from beamspar.protocol.machine_capacity import MachineCapacity
 from beamspar.settings import OperatorSettings
 from beamspar.timeouts import Timeouts
@@ -73,3 +78,39 @@
     assert manager.plan_scale_out([(task, 1)], []) is None
     manager.clock.now = BIG.boot_s * 1.6  # type: ignore[attr-defined]
     assert manager.plan_scale_out([(task, 1)], []) is not None
+
+
+def array(job: str, **fields: Any) -> JobSpec:
+    spec = JobSpec(job, "sweep", "red", "sweep", "normal", MAX_TASKS, 30.0, 0.0, 1.0, "img", 1.0)
+    return msgspec.structs.replace(spec, **fields)
+
+
+def test_a_plan_for_the_largest_arrays_takes_no_memory_for_their_tasks() -> None:
+    # A leader of 98 MB was killed for memory: it listed a machine for each of 200,000 tasks.
+    planner = ScaleOutPlanner({"big": BIG}, lambda place: False)
+    needs = [(array("j-1"), 2 * MAX_TASKS), (array("j-2", cpus=20.0), 2 * MAX_TASKS)]
+    tracemalloc.start()
+    plan = planner.plan(needs, capacities(east=1))
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert plan is not None and plan.machines == MAX_CREATED_AT_ONCE
+    assert peak < 1_000_000
+
+
+@pytest.mark.parametrize("present", [{}, {"east": 3}, {"east": 1, "south": 5, "west": 2}])
+@pytest.mark.parametrize("needed", [1, 7, 49, 50, 51, 149, 150, 151, 10_000])
+def test_a_request_has_its_zones_part_of_the_machines_needed(
+    present: dict[str, int], needed: int
+) -> None:
+    # The bound on what is listed must not change a request: zones are filled evenly.
+    full = capacities(**present)
+    for capacity in full:
+        capacity.cpus = 0.0
+    planner = ScaleOutPlanner({"big": BIG}, lambda place: False)
+    tasks_by_need = [needed // 2, needed - needed // 2]
+    needs = [(array(f"j-{n}"), tasks) for n, tasks in enumerate(tasks_by_need) if tasks]
+    plan = planner.plan(needs, full)
+    emptiest = min(ZONES, key=lambda zone: (present.get(zone, 0), zone))
+    target = -(-(sum(present.values()) + needed) // len(ZONES))
+    missing = target - present.get(emptiest, 0)
+    assert plan == (("big", emptiest, False), max(min(missing, needed, MAX_CREATED_AT_ONCE), 1))
