--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -11,6 +11,7 @@
 from zlib import crc32
 
 import msgspec
+from msgspec import UNSET
 
 from beamspar.protocol.cloud import MachineType
 from beamspar.protocol.jobs import JobSpec
@@ -94,7 +95,7 @@
         spec.cpus <= capacity.cpus + RESOURCE_TOLERANCE
         and spec.gpus <= capacity.gpus + RESOURCE_TOLERANCE
         and spec.memory_gb <= capacity.memory_gb + RESOURCE_TOLERANCE
-        and spec.max_entry_bytes <= capacity.free_heartbeat_bytes
+        and (capacity.heartbeat_bytes is UNSET or spec.max_entry_bytes <= capacity.heartbeat_bytes)
     )
 
 
