A crowded machine keeps room for tasks however often its worker's lease expires

Cause: each expiry took a quarter of the list without an end, so that a machine that is cut off now and then would have got no task after weeks; and a machine with a reduced list counted as crowded with any task. Change: at least a quarter of a full list remains, and a machine is crowded when more than half of its own list is taken. Found by reading the change once more.

--- a/src/beamspar/machines/crowding.py
+++ b/src/beamspar/machines/crowding.py
@@ -11,7 +11,7 @@
 from twisted.logger import Logger
 
 from beamspar.machines.managed_machine import ManagedMachine
-from beamspar.protocol.machine_capacity import MAX_REPORTED_HEARTBEAT_BYTES
+from beamspar.protocol.task_entries import MAX_LIST_BYTES
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock
 
@@ -21,8 +21,10 @@
 # longest time between two heartbeats is 1.25 intervals.
 READ_AFTER_INTERVALS = 0.5
 PAUSE_AFTER_INTERVALS = 1.5
-# The factor by which a crowded machine's list is reduced when its worker's lease expires.
+# The factor by which a crowded machine's list is reduced when its worker's lease expires, and the
+# least that it is reduced to.
 REDUCTION_AFTER_EXPIRY = 0.75
+MIN_LIST_BYTES = MAX_LIST_BYTES // 4
 
 
 class Crowding:
@@ -35,13 +37,16 @@
 
     def is_read_due(self, machine: ManagedMachine) -> bool:
         """Return whether the machine's tasks are to be read with a direct message."""
+        if not is_crowded(machine):
+            return False
         heard_at = max(machine.last_heartbeat_at, machine.last_reply_at)
-        return self._clock.seconds() - heard_at > self._read_after_s and is_crowded(machine)
+        return self._clock.seconds() - heard_at > self._read_after_s
 
     def are_starts_paused(self, machine: ManagedMachine) -> bool:
         """Return whether nothing may be started, as the heartbeat may exceed the limit."""
-        silent_s = self._clock.seconds() - machine.last_heartbeat_at
-        return silent_s > self._pause_after_s and is_crowded(machine)
+        if not is_crowded(machine):
+            return False
+        return self._clock.seconds() - machine.last_heartbeat_at > self._pause_after_s
 
 
 def is_crowded(machine: ManagedMachine) -> bool:
@@ -49,8 +54,7 @@
 
     The entry of an ended task is less than twice as long as before.
     """
-    used = machine.reserved_resources().heartbeat_bytes
-    return machine.max_list_bytes - used < MAX_REPORTED_HEARTBEAT_BYTES
+    return machine.reserved_resources().heartbeat_bytes > machine.max_list_bytes // 2
 
 
 def observe_lease_expiry(machine: ManagedMachine) -> None:
@@ -59,7 +63,8 @@
     Its worker may encode its tasks less compactly than assumed.
     """
     if is_crowded(machine):
-        machine.max_list_bytes = int(machine.max_list_bytes * REDUCTION_AFTER_EXPIRY)
+        reduced = int(machine.max_list_bytes * REDUCTION_AFTER_EXPIRY)
+        machine.max_list_bytes = max(reduced, MIN_LIST_BYTES)
         machine.mark_changed()
         log.warn(
             "{machine}: the lease of a worker with {count} tasks has expired, its list may take "
--- a/tests/test_heartbeat_size.py
+++ b/tests/test_heartbeat_size.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from beamspar.machines.crowding import observe_lease_expiry
 from beamspar.machines.managed_machine import AttemptKey, ManagedMachine
 from beamspar.placement import choose_preemption, fitting_task_count, has_capacity
 from beamspar.protocol.codec import BODY_LIMIT
@@ -206,6 +207,17 @@
     assert choose_preemption(critical, [capacity], {}) is capacity
 
 
+def test_repeated_expiries_leave_a_machine_room_for_tasks() -> None:
+    # Without a bound, the list of a machine that is cut off now and then would shrink to nothing.
+    machine = ManagedMachine(Machine("m-1", "m-1:90", "big", "east", False), 1, 0.0, 0.0)
+    for number in range(1000):
+        key = AttemptKey(f"j-1/{number}", 1)
+        machine.tasks[key] = TaskStatus(key.task, 1, "running")
+    for _ in range(20):
+        observe_lease_expiry(machine)
+    assert machine.max_list_bytes == MAX_LIST_BYTES // 4
+
+
 def test_ended_tasks_take_bytes_of_the_heartbeat_until_they_are_cleared() -> None:
     machine = ManagedMachine(Machine("m-1", "m-1:90", "big", "east", False), 1, 0.0, 0.0)
     machine.tasks[AttemptKey("j-1/0", 1)] = TaskStatus("j-1/0", 1, "ended", "done")
