Tests with real processes hold their ports, so that two runs can't collide

Cause: the soak counted its ports from a fixed first one, and all tests looked a free port up, closed it and used it later. Change: a bound socket that never listens holds each port until its user listens on it, and for restarted controllers all the time; the kernel gives it to nobody else.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,8 +23,6 @@
 from tests.soak_day import MAX_STALL_S, SeedResult
 
 ROOT = Path(__file__).resolve().parent.parent
-# The first port of the first seed at a time, and how many ports each of them may use.
-FIRST_PORT, PORTS_PER_SEED = 20000, 1400
 MAX_PARALLEL = 8
 SEED_TIMEOUT_S = 400.0
 DEFAULT_WORKERS = 36
@@ -60,15 +58,13 @@
         self.max_stall_s = max_stall_s
         self.children: set[subprocess.Popen[bytes]] = set()
         self.is_closed = False
-        self.free_slots = list(range(MAX_PARALLEL))
 
     def play(self, seed: int, workers: int) -> Outcome:
         """Play one seed; a seed that does not start or end in time is an error."""
         if self.is_closed:
             return Outcome(seed, workers, None, "not played")
-        slot = self.free_slots.pop()
         child = subprocess.Popen(
-            self._command(seed, workers, FIRST_PORT + slot * PORTS_PER_SEED),
+            self._command(seed, workers),
             cwd=ROOT,
             env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
             stdout=subprocess.PIPE,
@@ -82,15 +78,14 @@
             output, errors = child.communicate()
         finally:
             self.children.discard(child)
-            self.free_slots.append(slot)
         if child.returncode != 0:
             lines = errors.decode(errors="replace").strip().splitlines()
             return Outcome(seed, workers, None, lines[-1] if lines else "ended early")
         return Outcome(seed, workers, msgspec.json.decode(output.splitlines()[-1], type=SeedResult))
 
-    def _command(self, seed: int, workers: int, first_port: int) -> list[str]:
+    def _command(self, seed: int, workers: int) -> list[str]:
         command = [sys.executable, "-m", "tests.soak_day", "--seed", str(seed)]
-        command += ["--workers", str(workers), "--first-port", str(first_port)]
+        command += ["--workers", str(workers)]
         command += ["--max-stall", str(self.max_stall_s)]
         if self.report is not None:
             command += ["--report", str(self.report.resolve() / str(seed))]
--- a/tests/soak_day.py
+++ b/tests/soak_day.py
@@ -413,7 +413,6 @@
 @click.command()
 @click.option("--seed", required=True, type=int)
 @click.option("--workers", default=36, show_default=True, type=click.IntRange(3, 2000))
-@click.option("--first-port", default=20000, show_default=True, type=click.IntRange(1024, 32000))
 @click.option("--report", default=None, type=click.Path(path_type=Path))
 @click.option("--app", default=None, type=str, help="Another run.py to run as the controllers.")
 @click.option("--fail-fast", is_flag=True, help="End with the first violation.")
@@ -421,7 +420,6 @@
 def main(
     seed: int,
     workers: int,
-    first_port: int,
     report: Path | None,
     app: str | None,
     fail_fast: bool,
@@ -439,7 +437,6 @@
         reactor,
         seed,
         run_line,
-        first_port=first_port,
         workers=WORKER_SETTINGS,
         state=dict(STATE_LIMITS),
         teams=[{"name": "red", "cpus_max": 0.4 * workers}, {"name": "blue"}],
--- a/tests/standins/links.py
+++ b/tests/standins/links.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -15,8 +14,9 @@
 
 from beamspar.transport.http import CallFailedError, Handler, HttpRequest, HttpResponse
 from beamspar.transport.http_server import Site, _Request
-from tests.standins.loopback import BODY_LIMIT, HOST, LoopbackNetwork, LoopbackWorker, LoopbackWorld
+from tests.standins.loopback import BODY_LIMIT, LoopbackNetwork, LoopbackWorker, LoopbackWorld
 from tests.standins.net import Network
+from tests.standins.ports import HOST
 
 MAX_CONNECTIONS = 1000
 LISTEN_BACKLOG = 256
@@ -53,12 +53,9 @@
 class LinkedNetwork(LoopbackNetwork):
     """Carries calls over TCP and over links; `cuts` and `held_messages` are as in `Network`."""
 
-    def __init__(
-        self, clock: Any, rng: Any, reactor: Any, first_port: int, members: list[str]
-    ) -> None:
+    def __init__(self, clock: Any, rng: Any, reactor: Any, members: list[str]) -> None:
         super().__init__(clock, rng, reactor)
         self.latency = 0.0
-        self.next_port = first_port
         # By link: the added delay in seconds. The share of messages that every link loses.
         self.delays: dict[tuple[str, str], float] = {}
         self.lost_share = 0.0
@@ -73,16 +70,9 @@
 
     def real_address(self, address: str) -> str:
         if address not in self.ports:
-            self.ports[address] = self._free_port()
+            self.ports[address] = self.held_ports.take((HOST, *self.worker_hosts.values()))
         return f"{HOST}:{self.ports[address]}"
 
-    def _free_port(self) -> int:
-        """Return the next free port; those of the ephemeral range may be taken at any time."""
-        while True:
-            self.next_port += 1
-            if all(_is_free(host, self.next_port) for host in (HOST, *self.worker_hosts.values())):
-                return self.next_port
-
     # -- links
 
     def send_message(self, source: str, target: str, deliver: Callable[[], None]) -> None:
@@ -116,6 +106,7 @@
             return
         for source, worker_host in self.worker_hosts.items():
             self._listen(address, self._link_handler(source, host, handler), worker_host)
+        self.held_ports.release(self.ports[address])
 
     def _link_handler(self, source: str, target: str, handler: Handler) -> Handler:
         return lambda request: self._pass(source, target, handler, request)
@@ -239,12 +230,8 @@
 class LinkedWorld(LoopbackWorld):
     """A deployment of real controllers all of whose messages pass links."""
 
-    def __init__(self, reactor: Any, seed: int, run_line: list[str], **options: Any) -> None:
-        self.first_port: int = options.pop("first_port")
-        super().__init__(reactor, seed, run_line, **options)
-
     def make_network(self) -> Network:
-        return LinkedNetwork(self.clock, self.rng, self.reactor, self.first_port, MEMBERS)
+        return LinkedNetwork(self.clock, self.rng, self.reactor, MEMBERS)
 
     def _new_worker(self, machine: dict[str, Any], kind: dict[str, Any]) -> LinkedWorker:
         return LinkedWorker(
@@ -265,13 +252,3 @@
         network: Any = self.network
         network.close_links_to(name)
         super().crash(name, back_s)
-
-
-def _is_free(host: str, port: int) -> bool:
-    """Return whether nothing listens at this address."""
-    with socket.socket() as probe:
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
-    return True
--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -8,7 +8,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -25,11 +24,11 @@
 from beamspar.transport.http_server import Site
 from beamspar.transport.tcp import TcpNet
 from tests.standins.net import Network
+from tests.standins.ports import HOST, HeldPorts
 from tests.standins.workers import Worker
 from tests.standins.world import World
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-HOST = "127.0.0.1"
 BODY_LIMIT = 4 * 1024 * 1024
 SETTINGS = """\
 member = "{member}"
@@ -90,14 +89,13 @@
         super().__init__(clock, rng)
         self.reactor = reactor
         self.ports: dict[str, int] = {}
+        self.held_ports = HeldPorts()
         self.net = TcpNet(reactor, 1.5, 15.0, SocketLimits.of(10_000, 3))
 
     def real_address(self, address: str) -> str:
         """Return the TCP address to which the simulated address is mapped."""
         if address not in self.ports:
-            with socket.socket() as probe:
-                probe.bind((HOST, 0))
-                self.ports[address] = probe.getsockname()[1]
+            self.ports[address] = self.held_ports.take()
         return f"{HOST}:{self.ports[address]}"
 
     def serve(self, host: str, address: str, handler: Handler) -> None:
@@ -105,6 +103,7 @@
         self.real_address(address)
         site = Site(self.reactor, handler, BODY_LIMIT, 1000, 60.0)
         self.reactor.listenTCP(self.ports[address], site, 256, HOST)
+        self.held_ports.release(self.ports[address])
 
     def request(
         self,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,7 +4,6 @@
 
 import os
 import shutil
-import socket
 import subprocess
 import sys
 import tomllib
@@ -16,6 +15,8 @@
 import orjson
 import pytest
 
+from tests.standins.ports import HeldPorts
+
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS = """
 member = "rig-0"
@@ -41,14 +42,8 @@
 """
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+# Held until the tests end.
+PORTS = HeldPorts()
 
 
 def run_command() -> list[str]:
@@ -82,7 +77,7 @@
 
 
 def settings_file(path: Path, text: str = SETTINGS) -> Path:
-    public, peer, cloud, state = free_ports(4)
+    public, peer, cloud, state = (PORTS.take() for _ in range(4))
     file = path / "settings.toml"
     file.write_text(text.format(public=public, peer=peer, cloud=cloud, state=state))
     return file
@@ -188,7 +183,7 @@
     tmp_path: Path, jump: float
 ) -> None:
     config = tmp_path / "settings.toml"
-    ports = dict(zip(("public", "peer", "cloud", "state"), free_ports(4), strict=True))
+    ports = {name: PORTS.take() for name in ("public", "peer", "cloud", "state")}
     config.write_text(SETTINGS.format(**ports))
     completed = subprocess.run(
         [sys.executable, "-c", CLOCK_STEP, str(config), str(jump)],
