A seed of the soak that is ended as it starts leaves no controller behind

Cause: controllers are started before the reactor runs and installs its signal handlers. A SIGTERM in that time ended the seed by the default action; its controllers went on and held the pipes that the soak reads to their end. Change: the seed notes an early SIGTERM and ends as soon as its reactor runs. Evidence: the new test sends the signal as the first controller is started.

--- a/tests/soak_day.py
+++ b/tests/soak_day.py
@@ -430,6 +430,10 @@
     from tests.standins.links import LinkedWorld
     from tests.standins.loopback import deploy_line
 
+    # The reactor handles SIGTERM once it runs. Until then, the signal must not end this process
+    # at once, without the controllers that it has started.
+    early_signals: list[int] = []
+    signal.signal(signal.SIGTERM, lambda number, _: early_signals.append(number))
     run_line = deploy_line("service.toml")
     if app is not None:
         run_line[-2] = app
@@ -452,12 +456,12 @@
     work.addBoth(lambda _: reactor.stop() if reactor.running else None)
     parent = os.getppid()
 
-    def end_with_parent() -> None:
-        if os.getppid() != parent:
+    def end_if_wanted() -> None:
+        if early_signals or os.getppid() != parent:
             reactor.stop()
-        reactor.callLater(1.0, end_with_parent)
+        reactor.callLater(1.0, end_if_wanted)
 
-    end_with_parent()
+    reactor.callWhenRunning(end_if_wanted)
     try:
         reactor.run()
     finally:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -135,6 +135,40 @@
     wait_until_none_is_left(str(app))
 
 
+# Plays a seed whose process gets SIGTERM as it has started its first controller.
+TERMINATED_AS_IT_STARTS = """
+import os, signal, subprocess
+from tests import soak_day
+
+class Popen(subprocess.Popen):
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+subprocess.Popen = Popen
+soak_day.main()
+"""
+
+
+def test_a_seed_that_is_ended_as_it_starts_leaves_no_controller(tmp_path: Path) -> None:
+    # Before the reactor ran, SIGTERM ended the seed at once, and its controllers went on: they
+    # held the pipes of its output, so that the soak waited for them.
+    app = tmp_path / "app-of-this-test"
+    build()
+    shutil.copytree(ROOT / "target" / "app", app)
+    (tmp_path / "deps").symlink_to(ROOT / "target" / "deps")
+    done = subprocess.run(
+        [sys.executable, "-c", TERMINATED_AS_IT_STARTS, "--seed", "1", "--app", app / "run.py"],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"src{os.pathsep}."},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        timeout=60,
+    )
+    assert done.returncode == 1
+    wait_until_none_is_left(str(app))
+
+
 def test_schedules_are_fixed_by_their_seed_and_use_every_kind_of_fault() -> None:
     assert schedule(3) == schedule(3) != schedule(4)
     used = {fault.kind for seed in range(1, 21) for fault in schedule(seed)}
