A former leader changes no instances: calls to the cloud need its valid lease

A leader that stood still for 20 s deleted two machines with accepted work of its successor as soon as it went on; one that was cut off from the state service and its peers went on creating and deleting for some 20 s.

Cause: nothing fences calls to the cloud, and they were sent after a wait without asking anything (the queue of deletions, the repeated creation). What was asked before, the registration lease (some 28 s), outlasts the lease as the leader (6.8 s), after which another controller may be elected.

Change: LeaderLease knows when the last confirmed grant or renewal was sent. The calls that create and delete instances take a permit and ask it right before they are sent, so none can be written without it. A step-down whose answer is lost gives the lease up, as the record may be deleted at any time. A failed renewal is repeated after a retry delay, not after a quarter of the lease, so that the permit is back soon after an outage.

Why it works: the state service gives the leader record to nobody else before the lease has expired, and it lasts at least from when the request was sent.

--- a/src/beamspar/leader/cloud_client.py
+++ b/src/beamspar/leader/cloud_client.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from beamspar.decision_log.decisions import Place
+from beamspar.leader.leader_lease import UnfencedCallPermit
 from beamspar.protocol.cloud import Instance, MachineType
 from beamspar.protocol.codec import InvalidInputError, convert, pack, unpack
 from beamspar.transport.http import CallFailedError, Net
@@ -33,7 +35,8 @@
     """Calls the cloud's API.
 
     All requests raise CloudUnavailableError, or NoCapacityError if the cloud reports
-    a lack of capacity.
+    a lack of capacity. Those that change instances need a permit, as the cloud can't tell whether
+    their sender still leads; they raise LeaderLeaseError if it permits nothing now.
     """
 
     def __init__(self, net: Net, address: str, timeout_s: float) -> None:
@@ -65,12 +68,14 @@
         return machine_types
 
     async def create_instances(
-        self, name: str, kind: str, zone: str, spot: bool, count: int
+        self, permit: UnfencedCallPermit, name: str, place: Place, count: int
     ) -> list[str]:
         """Create up to `count` instances and return their names.
 
         The request is idempotent: a request name that was granted before gets the same response.
         """
+        permit.check()
+        kind, zone, spot = place
         body = {"hire": name, "rig_kind": kind, "yard": zone, "standby": spot, "how_many": count}
         data = await self._call("POST", "/rentals", body)
         rigs = data.get("rigs")
@@ -80,8 +85,9 @@
             )
         return [str(r) for r in rigs]
 
-    async def delete_instances(self, names: list[str]) -> None:
+    async def delete_instances(self, permit: UnfencedCallPermit, names: list[str]) -> None:
         """Delete instances; once this returns, they and all tasks on them are gone."""
+        permit.check()
         await self._call("POST", "/rentals/return", {"rigs": names})
 
     async def list_instances(self, after: str) -> InstancePage:
--- a/src/beamspar/leader/instance_manager.py
+++ b/src/beamspar/leader/instance_manager.py
@@ -27,6 +27,7 @@
     InstancePage,
     NoCapacityError,
 )
+from beamspar.leader.leader_lease import LeaderLease, LeaderLeaseError
 from beamspar.leader.scale_out_planning import (
     ScaleOut,
     ScaleOutPlanner,
@@ -63,6 +64,10 @@
 
     Idle while another controller leads. The methods that call the cloud raise the errors of
     `CloudClient`, except for `scale_in`, which logs them.
+
+    What was decided may be outdated when its call is sent: the call may have waited for others, and
+    this process may have stood still meanwhile. So instances are created and deleted only under the
+    leader's valid lease.
     """
 
     def __init__(
@@ -73,10 +78,12 @@
         settings: Settings,
         timeouts: Timeouts,
         types: dict[str, MachineType],
+        lease: LeaderLease,
         decision_log: DecisionLog | None = None,
     ) -> None:
         self.clock = clock
         self.cloud = cloud
+        self.lease = lease
         self.registration = registration
         self.timeouts = timeouts
         self.list_lag_s = settings.platform.cloud.list_lag_s
@@ -206,8 +213,8 @@
 
     async def _delete(self, names: list[str]) -> None:
         try:
-            await self.cloud.delete_instances(names)
-        except (CloudUnavailableError, NoCapacityError) as error:
+            await self.cloud.delete_instances(self.lease, names)
+        except (CloudUnavailableError, NoCapacityError, LeaderLeaseError) as error:
             # The caller requests the deletion again while its reason persists.
             log.info(
                 "deleting {names} failed, will retry if still due: {error}",
@@ -290,7 +297,7 @@
                 pause_s=pause_s,
             )
             return
-        except CloudUnavailableError:
+        except (CloudUnavailableError, LeaderLeaseError):
             self.decision_log.record(InstanceRequestAbandoned(request.name))
             raise
         pause_s = self.list_lag_s if len(names) < request.count else 0.0
@@ -307,13 +314,9 @@
 
         The name makes the request idempotent, so it takes effect only once.
         """
-        kind, zone, spot = request.place
+        name, place, count = request.name, request.place, request.count
         try:
-            return await self.cloud.create_instances(request.name, kind, zone, spot, request.count)
+            return await self.cloud.create_instances(self.lease, name, place, count)
         except CloudUnavailableError as error:
-            log.info(
-                "scale-out {name} failed, repeating it once: {error}",
-                name=request.name,
-                error=error,
-            )
-        return await self.cloud.create_instances(request.name, kind, zone, spot, request.count)
+            log.info("scale-out {name} failed, repeating it once: {error}", name=name, error=error)
+        return await self.cloud.create_instances(self.lease, name, place, count)
--- a/src/beamspar/leader/leader.py
+++ b/src/beamspar/leader/leader.py
@@ -215,11 +215,11 @@
     @property
     def decisions_paused_until(self) -> float:
         """Clock time until which no decisions are made because leadership is being handed over."""
-        return self.leadership.decisions_paused_until
+        return self.leadership.lease.suspended_until
 
     @decisions_paused_until.setter
     def decisions_paused_until(self, until: float) -> None:
-        self.leadership.decisions_paused_until = until
+        self.leadership.lease.suspended_until = until
 
     @property
     def may_stand(self) -> Callable[[], bool]:
--- a/src/beamspar/leader/leadership.py
+++ b/src/beamspar/leader/leadership.py
@@ -19,7 +19,12 @@
 from beamspar.state import keys
 from beamspar.state.client import StateClient
 from beamspar.state.control_records import LeaderRecord
-from beamspar.state.errors import ConflictError, LeaseExpiredError, StateUnavailableError
+from beamspar.state.errors import (
+    ConflictError,
+    LeaseExpiredError,
+    OutcomeUnknownError,
+    StateUnavailableError,
+)
 from beamspar.state.messages import drop, put
 from beamspar.state.request_queue import RequestPriority
 from beamspar.timeouts import Timeouts
@@ -63,8 +68,7 @@
         self.may_stand: Callable[[], bool] = lambda: True
         # Called once per term, as soon as decisions may be made.
         self.on_ready: Callable[[], None] = lambda: None
-        # Clock time until which no decisions are made because leadership is being handed over.
-        self.decisions_paused_until = -1e9
+        self.lease = instance_manager.lease
         self.is_electing = False
         self.leading_since: float | None = None
         # A former leader that was confirmed to have failed: no heartbeat is expected from it.
@@ -89,7 +93,7 @@
         """
         if not self.is_leading or not self.registration.is_lease_valid():
             return False
-        if self.clock.seconds() < self.decisions_paused_until:
+        if self.clock.seconds() < self.lease.suspended_until:
             return False
         # The mirror must include the last writes of the former leader. Otherwise a machine that
         # was already leased would look new and would be put into a second shard.
@@ -184,13 +188,17 @@
         self.is_electing = True
         try:
             record = LeaderRecord(self.registration.own_name, self.registration.incarnation)
+            sent_at = self.clock.seconds()
             lease_id = await self.state.grant_lease(self.timeouts.leader_lease_s)
+            self.lease.begin(lease_id, sent_at)
             revision = await self.state.transact(
                 {keys.LEADER_KEY: expected_version, **self.registration.fence_condition()},
                 [put(keys.LEADER_KEY, msgspec.to_builtins(record), lease_id)],
                 RequestPriority.URGENT,
             )
         except (ConflictError, StateUnavailableError, LeaseExpiredError) as error:
+            if not isinstance(error, OutcomeUnknownError):
+                self.lease.end()
             log.info("election attempt failed: {error}", error=error)
         else:
             self.failed_leader = replaced_leader if has_failed else ""
@@ -208,15 +216,23 @@
         run_in_background(self._keep_renewing(lease_id), "leader lease renewal")
 
     async def _keep_renewing(self, lease_id: int) -> None:
-        while not self.registration.is_ended and self.mirror.leader == self.registration.own_name:
+        while self._needs_renewal(lease_id):
+            sent_at = self.clock.seconds()
+            pause_s = self.timeouts.leader_lease_s / RENEWALS_PER_LEASE
             try:
                 await self.state.renew_lease(lease_id)
+                self.lease.confirm(lease_id, sent_at)
             except LeaseExpiredError:
                 log.info("the leader's lease has expired; its renewal stops")
                 return
             except StateUnavailableError as error:
+                pause_s = self.timeouts.retry_delay_s
                 log.info("renewing the leader's lease failed, will retry: {error}", error=error)
-            await sleep(self.clock, self.timeouts.leader_lease_s / RENEWALS_PER_LEASE)
+            await sleep(self.clock, pause_s)
+
+    def _needs_renewal(self, lease_id: int) -> bool:
+        is_leader = self.mirror.leader == self.registration.own_name
+        return is_leader and not self.registration.is_ended and self.lease.is_in_use(lease_id)
 
     async def step_down(self) -> None:
         """Step down so that another controller can lead; a no-op while shards are being leased.
@@ -227,15 +243,21 @@
         if self.shard_leasing.is_running:
             return
         # Make no more decisions, as the next leader might not receive them.
-        self.decisions_paused_until = (
+        self.lease.suspended_until = (
             self.clock.seconds() + self.timeouts.request_timeout_s * STEP_DOWN_PAUSE_REQUESTS
         )
-        await self.state.transact(
-            {
-                keys.LEADER_KEY: self.mirror.version(keys.LEADER_KEY),
-                **self.registration.fence_condition(),
-            },
-            [drop(keys.LEADER_KEY)],
-            RequestPriority.URGENT,
-        )
+        try:
+            await self.state.transact(
+                {
+                    keys.LEADER_KEY: self.mirror.version(keys.LEADER_KEY),
+                    **self.registration.fence_condition(),
+                },
+                [drop(keys.LEADER_KEY)],
+                RequestPriority.URGENT,
+            )
+        except OutcomeUnknownError:
+            # The leader record may be deleted at any time, so the lease permits nothing any more.
+            self.lease.end()
+            raise
+        self.lease.end()
         log.info("{me} has stepped down as leader", me=self.registration.own_name)
--- a/src/beamspar/leader/scaling.py
+++ b/src/beamspar/leader/scaling.py
@@ -8,6 +8,7 @@
 from beamspar.leader.cloud_client import CloudUnavailableError, NoCapacityError
 from beamspar.leader.fleet_view import FleetView
 from beamspar.leader.instance_manager import InstanceManager
+from beamspar.leader.leader_lease import LeaderLeaseError
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock, run_in_background
 
@@ -42,7 +43,8 @@
             self._is_listing = True
             run_in_background(self._refresh_list(), "listing instances")
         # Without machine types there is nothing to choose from.
-        if not self._is_scaling_out and self.instance_manager.types:
+        may_scale_out = self.instance_manager.types and self.instance_manager.lease.is_valid()
+        if may_scale_out and not self._is_scaling_out:
             self._is_scaling_out = True
             run_in_background(self._scale_out(), "scaling out")
 
@@ -77,7 +79,7 @@
             )
             if plan is not None:
                 await self.instance_manager.scale_out(*plan)
-        except (CloudUnavailableError, NoCapacityError) as error:
+        except (CloudUnavailableError, NoCapacityError, LeaderLeaseError) as error:
             log.info("scaling out failed, will retry: {error}", error=error)
         finally:
             self.clock.callLater(self.instance_manager.call_interval_s, self._end_pause)
--- a/src/beamspar/node/node.py
+++ b/src/beamspar/node/node.py
@@ -13,6 +13,7 @@
 from beamspar.leader.cloud_client import CloudClient
 from beamspar.leader.instance_manager import InstanceManager
 from beamspar.leader.leader import Leader
+from beamspar.leader.leader_lease import LeaderLease
 from beamspar.machines.machine_controller import MachineController
 from beamspar.machines.worker_client import WorkerClient
 from beamspar.node.cancellations import CancellationNotices
@@ -250,6 +251,7 @@
             self.settings,
             self.timeouts,
             self.machine_types.by_name,
+            LeaderLease(self.clock, registration, self.timeouts),
         )
         return Leader(
             self.clock,
--- a/src/beamspar/timeouts.py
+++ b/src/beamspar/timeouts.py
@@ -60,6 +60,8 @@
         # The leader's lease covers no machines, so cancellations don't limit it, and a shorter one
         # makes failover faster. A former leader's writes fail once another has taken the lease.
         self.leader_lease_s = self.worker_lease_s * 0.4
+        # How long the leader may go by its lease after it sent the grant's or a renewal's request.
+        self.leader_lease_validity_s = self.leader_lease_s * (1 - CLOCK_MARGIN)
 
     def _derive_request_timeouts(self) -> None:
         # The timeout of requests to the state service, the cloud and peers.
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -475,15 +475,20 @@
     assert await cloud_client(net).types() == [machine_type()]
 
 
+class GivenPermit:
+    """Permits each call."""
+
+    def check(self) -> None:
+        pass
+
+
 async def rent_instances(net: Recorder) -> None:
-    assert await cloud_client(net).create_instances("r-17", "g8", "b", True, 12) == [
-        "host-7",
-        "host-8",
-    ]
+    client, place = cloud_client(net), ("g8", "b", True)
+    assert await client.create_instances(GivenPermit(), "r-17", place, 12) == ["host-7", "host-8"]
 
 
 async def return_instances(net: Recorder) -> None:
-    await cloud_client(net).delete_instances(["host-7", "host-8"])
+    await cloud_client(net).delete_instances(GivenPermit(), ["host-7", "host-8"])
 
 
 async def list_instances(net: Recorder) -> None:
--- a/tests/test_instance_manager.py
+++ b/tests/test_instance_manager.py
@@ -14,6 +14,7 @@
 
 from beamspar.decision_log.decisions import BootingMachine
 from beamspar.leader.instance_manager import InstanceManager
+from beamspar.leader.leader_lease import LeaderLease
 from beamspar.leader.scale_out_planning import MAX_CREATED_AT_ONCE, ScaleOutPlanner
 from beamspar.protocol.cloud import MachineType
 from beamspar.protocol.jobs import MAX_TASKS, JobSpec
@@ -41,7 +42,9 @@
 def instance_manager() -> InstanceManager:
     unused: Any = None
     timeouts = Timeouts(settings(), OperatorSettings())
-    return InstanceManager(SimClock(), unused, unused, settings(), timeouts, {"big": BIG})
+    clock = SimClock()
+    lease = LeaderLease(clock, unused, timeouts)
+    return InstanceManager(clock, unused, unused, settings(), timeouts, {"big": BIG}, lease)
 
 
 def test_capacity_spread_over_zones_does_not_fit_a_one_zone_gang() -> None:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -16,6 +16,7 @@
 from beamspar.cluster.registration import Registration
 from beamspar.leader.instance_manager import InstanceManager
 from beamspar.leader.leader import Leader
+from beamspar.leader.leader_lease import LeaderLease
 from beamspar.settings import NextLimits, OperatorSettings
 from beamspar.state import keys
 from beamspar.state.control_records import Machine, shard_record
@@ -54,7 +55,10 @@
     store: Any = recorder
     registration = Registration(clock, store, own_settings, timeouts)
     registration.mirror.observe(keys.LEADER_KEY, {"name": "rig-0", "inc": 0}, 5)
-    instance_manager = InstanceManager(clock, unused, registration, own_settings, timeouts, {})
+    lease = LeaderLease(clock, registration, timeouts)
+    instance_manager = InstanceManager(
+        clock, unused, registration, own_settings, timeouts, {}, lease
+    )
     leader = Leader(
         clock,
         registration,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,6 +15,7 @@
 from beamspar.jobs.assignments import Assignments
 from beamspar.leader.cloud_client import CloudUnavailableError, InstancePage
 from beamspar.leader.instance_manager import PAGE_RETRIES, InstanceManager
+from beamspar.leader.leader_lease import LeaderLease
 from beamspar.machines.machine_controller import MachineController
 from beamspar.machines.managed_machine import AttemptKey
 from beamspar.protocol.cloud import Instance, MachineType
@@ -203,9 +204,9 @@
     clock, unused = SimClock(), None
     cloud: Any = PagedCloud(clock, 4000, refused)
     no_registration: Any = unused
-    manager = InstanceManager(
-        clock, cloud, no_registration, settings(), Timeouts(settings(), OperatorSettings()), {}
-    )
+    timeouts = Timeouts(settings(), OperatorSettings())
+    lease = LeaderLease(clock, no_registration, timeouts)
+    manager = InstanceManager(clock, cloud, no_registration, settings(), timeouts, {}, lease)
     done = ensureDeferred(manager.refresh())
     clock.advance_to(100.0)
     return manager, cloud, done
