A machine that gets work while its deletion is queued is not deleted

Tasks were lost with machines that the leader deleted although they had work.

Cause: a deletion was queued once the machine was drained and empty, and sent up to some seconds later without another look. In between the machine drained no more: the next decision left out the queued ones, so that holders used them again.

Change: who queues a deletion passes the check that justifies it (empty and drained, silent, failed, not up), and it is asked right before the request. A machine drains until its deletion is confirmed or its capacity is needed, and while its deletion is in flight. Machines whose deletion is confirmed count no more as idle, though their shard lists them.

Why it works: the leader alone ends the draining of a machine, its lease says that no other one does so meanwhile, and the holder's report of an empty, draining machine is newer than a heartbeat interval.

--- a/src/beamspar/leader/draining.py
+++ b/src/beamspar/leader/draining.py
@@ -10,7 +10,7 @@
 from beamspar.cluster.state_mirror import StateMirror
 from beamspar.leader.capacity_needs import CapacityNeeds
 from beamspar.leader.fleet_view import FleetView
-from beamspar.leader.instance_manager import InstanceManager
+from beamspar.leader.instance_manager import DeletionCheck, InstanceManager
 from beamspar.leader.shard_leasing import ShardLeasing
 from beamspar.placement import copy_capacity
 from beamspar.protocol.machine_capacity import MachineCapacity
@@ -40,8 +40,8 @@
 class MachineGroups(msgspec.Struct):
     """The fleet's machines, grouped by whether they may be deleted."""
 
-    # Machines to delete now, because they are drained or unfit for use.
-    to_delete: list[str] = msgspec.field(default_factory=list)
+    # Machines to delete now, because they are unfit for use.
+    unfit: list[str] = msgspec.field(default_factory=list)
     # Copies of the free capacity of machines that are kept in any case.
     kept_capacities: list[MachineCapacity] = msgspec.field(default_factory=list)
     idle: list[IdleMachine] = msgspec.field(default_factory=list)
@@ -71,9 +71,11 @@
     def draining_machines_of(self, member: str) -> list[str]:
         """Return the draining machines that the member holds now.
 
-        A machine continues to drain when its shard moves to another holder.
+        A machine continues to drain when its shard moves to another holder, and as long as a
+        request for its deletion is in flight.
         """
-        return [name for name in self.draining_machines if self._holder(name) == member]
+        names = self.draining_machines.keys() | self.instance_manager.deleting
+        return sorted(name for name in names if self._holder(name) == member)
 
     def _holder(self, machine: str) -> str:
         return (self.mirror.holder_of(machine) or ("", 0))[0]
@@ -100,7 +102,11 @@
                 self.timeouts.worker_lease_s * NETWORK_PARTITION_SILENCE_LEASES,
             )
             if failed:
-                self.instance_manager.scale_in(failed)
+                self.instance_manager.scale_in(failed, self._is_silent)
+
+    def _is_silent(self, machine: str) -> bool:
+        status = self.fleet_view.current_status(machine)
+        return status is not None and status.silent_s > self.timeouts.silence_timeout_s
 
     # -- idle machines
 
@@ -108,17 +114,15 @@
         """Delete idle machines that exceed the capacity to keep, in two steps.
 
         First the holder is instructed to place no tasks on the machine. Once the holder reports
-        that the machine is draining and it is still empty, the machine is deleted.
+        that the machine is draining and it is still empty, the machine is deleted. It drains until
+        its deletion is confirmed, unless its capacity is needed before the request is sent.
         """
         if not self.mirror.members <= self.shard_leasing.reachable_members():
             # The capacity and the needs of some member are unknown, so nothing counts as surplus.
             self.draining_machines.clear()
             return
         groups = self._group_machines(now)
-        for name in groups.to_delete:
-            # Queued by separate calls: if no deletion is in progress, the first machine is deleted
-            # at once by a request of its own, and the others by the requests that follow.
-            self.instance_manager.scale_in([name])
+        self._delete(groups.unfit, self._is_unfit_and_empty)
         if not any(machine.idle_s > self.timeouts.idle_timeout_s for machine in groups.idle):
             self.draining_machines.clear()
             return
@@ -128,22 +132,39 @@
         )
         unneeded = self._unneeded(groups)
         self.draining_machines = self._select_for_draining(groups.idle, unneeded)
+        self._delete(list(self.draining_machines), self._is_drained)
+
+    def _delete(self, machines: Iterable[str], is_due: DeletionCheck) -> None:
+        for name in machines:
+            if is_due(name):
+                # Queued by separate calls: if no deletion is in progress, the first machine is
+                # deleted at once by a request of its own, and the others by those that follow.
+                self.instance_manager.scale_in([name], is_due)
+
+    def _is_drained(self, machine: str) -> bool:
+        """Return whether the machine is empty, and its holder keeps it so."""
+        if machine not in self.draining_machines:
+            return False
+        status = self.fleet_view.current_status(machine)
+        return status is not None and status.is_draining and _is_empty(status)
+
+    def _is_unfit_and_empty(self, machine: str) -> bool:
+        status = self.fleet_view.current_status(machine)
+        return status is not None and _is_unfit(status) and _is_empty(status)
 
     def _group_machines(self, now: float) -> MachineGroups:
         groups = MachineGroups()
         for member in self.mirror.members:
             for name, received in self.fleet_view.members[member].machines.items():
                 status = received.status
-                if self.mirror.holder_of(name) != (member, status.fencing_token):
+                is_gone = name in self.instance_manager.deleted_machines
+                if is_gone or self.mirror.holder_of(name) != (member, status.fencing_token):
                     continue
-                is_empty = status.has_confirmed_token and not status.capacity.tasks
-                is_drained = name in self.draining_machines and status.is_draining
-                is_unfit = status.is_degraded and status.is_quarantined
-                if is_empty and (is_drained or is_unfit):
+                if _is_empty(status) and _is_unfit(status):
                     # An unfit machine is deleted, as it takes the place of a healthy one that could
                     # be created instead.
-                    groups.to_delete.append(name)
-                elif not is_empty or status.is_expired or status.is_quarantined:
+                    groups.unfit.append(name)
+                elif not _is_empty(status) or status.is_expired or status.is_quarantined:
                     groups.kept_capacities.append(copy_capacity(status.capacity))
                 else:
                     idle_s = status.idle_s + now - received.received_at
@@ -178,18 +199,21 @@
         limit = max(int(len(self.mirror.shard_of) * MAX_DRAINING_SHARE), 1)
         for machine in idle:
             name = machine.status.capacity.name
-            holder_and_token = self.mirror.holder_of(name)
-            if (
-                holder_and_token
-                and name in unneeded
-                and machine.idle_s > self.timeouts.idle_timeout_s
-            ):
-                selected[name] = holder_and_token[0]
+            if name in unneeded and machine.idle_s > self.timeouts.idle_timeout_s:
+                selected[name] = self._holder(name)
                 if len(selected) >= limit:
                     break
         return selected
 
 
+def _is_empty(status: MachineStatus) -> bool:
+    return status.has_confirmed_token and not status.capacity.tasks
+
+
+def _is_unfit(status: MachineStatus) -> bool:
+    return status.is_degraded and status.is_quarantined
+
+
 def failed_machines(
     silent: list[MachineStatus], machines_in_zone: int, partition_silence_s: float
 ) -> list[str]:
--- a/src/beamspar/leader/fleet_view.py
+++ b/src/beamspar/leader/fleet_view.py
@@ -128,6 +128,18 @@
                     self.decision_log.record(CacheChanged(machine, {}))
         return statuses
 
+    def current_status(self, machine: str) -> MachineStatus | None:
+        """Return the status that the machine's holder reports; None without a recent report."""
+        holder, fencing_token = self.mirror.holder_of(machine) or ("", 0)
+        member = self.members.get(holder)
+        now = self.clock.seconds()
+        if member is None or now - member.reported_at > self.timeouts.worker_heartbeat_interval_s:
+            return None
+        received = member.machines.get(machine)
+        if received is None or received.status.fencing_token != fencing_token:
+            return None
+        return received.status
+
     def _collect_statuses(
         self, member_name: str, member: MemberView, statuses: list[MachineStatus]
     ) -> list[str]:
--- a/src/beamspar/leader/instance_manager.py
+++ b/src/beamspar/leader/instance_manager.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from twisted.logger import Logger
 
 from beamspar.cluster.registration import Registration
@@ -43,6 +45,9 @@
 
 log = Logger(namespace="instances")
 
+# Returns whether the named instance may be deleted now.
+DeletionCheck = Callable[[str], bool]
+
 # Maximum number of instances that the cloud deletes in one request (PROTOCOL).
 MAX_DELETED_AT_ONCE = 100
 # Boots usually take up to this multiple of the type's boot time (PROTOCOL). A later machine may
@@ -67,7 +72,7 @@
 
     What was decided may be outdated when its call is sent: the call may have waited for others, and
     this process may have stood still meanwhile. So instances are created and deleted only under the
-    leader's valid lease.
+    leader's valid lease, and each deletion is checked again right before its request.
     """
 
     def __init__(
@@ -106,7 +111,7 @@
         # Requests whose response a former leader had not received when it failed.
         self.inherited_requests: list[InstancesRequested] = []
         # Instances that are queued for deletion, and those in the deletion request in flight.
-        self.to_delete: set[str] = set()
+        self.to_delete: dict[str, DeletionCheck] = {}
         self.deleting: set[str] = set()
         self.is_scaling_in = False
         self.listed_at = -1e9
@@ -128,7 +133,11 @@
                 self._observe_starting(instance, now)
             elif instance.status == "failed":
                 log.info("{machine} has failed and will be deleted", machine=instance.machine)
-                self.scale_in([instance.machine])
+                self.scale_in([instance.machine], self._has_failed)
+
+    def _has_failed(self, name: str) -> bool:
+        instance = self.listed_instances.get(name)
+        return instance is not None and instance.status == "failed"
 
     def _observe_starting(self, instance: Instance, now: float) -> None:
         since = now - instance.age_s
@@ -142,7 +151,11 @@
             log.warn(
                 "{machine} did not come up in time and will be deleted", machine=instance.machine
             )
-            self.scale_in([instance.machine])
+            self.scale_in([instance.machine], self._is_not_up)
+
+    def _is_not_up(self, name: str) -> bool:
+        """Return whether the instance's worker has sent no heartbeat: the cloud's list lags."""
+        return name not in self.registration.mirror.shard_of
 
     async def _list_all(self) -> list[Instance]:
         """Read all pages of the list, with pauses that leave half of the rate to scaling out.
@@ -187,12 +200,13 @@
 
     # -- scaling in
 
-    def scale_in(self, names: list[str]) -> None:
+    def scale_in(self, names: list[str], is_due: DeletionCheck) -> None:
         """Delete instances in batches, paced to leave half of the cloud's rate to scaling out.
 
-        Instances whose deletion fails are dropped from the queue; the caller requests it again.
+        `is_due` is asked right before an instance's request is sent. Instances that are not due by
+        then, or whose deletion fails, are dropped from the queue; the caller requests it again.
         """
-        self.to_delete.update(name for name in names if name not in self.deleted_machines)
+        self.to_delete.update({name: is_due for name in names if name not in self.deleted_machines})
         if self.to_delete and not self.is_scaling_in:
             self.is_scaling_in = True
             run_in_background(self._scale_in(), "scaling in")
@@ -200,8 +214,9 @@
     async def _scale_in(self) -> None:
         try:
             while self.to_delete:
-                names = sorted(self.to_delete)[:MAX_DELETED_AT_ONCE]
-                self.to_delete.difference_update(names)
+                names = self._take_due()
+                if not names:
+                    continue
                 self.deleting.update(names)
                 try:
                     await self._delete(names)
@@ -211,6 +226,18 @@
         finally:
             self.is_scaling_in = False
 
+    def _take_due(self) -> list[str]:
+        """Remove the next batch from the queue; return those instances that may be deleted now."""
+        batch = sorted(self.to_delete)[:MAX_DELETED_AT_ONCE]
+        checks = {name: self.to_delete.pop(name) for name in batch}
+        due = [name for name, is_due in checks.items() if self.lease.is_valid() and is_due(name)]
+        if len(due) < len(batch):
+            log.info(
+                "not deleting {names}: no longer due, or the leader's lease may have expired",
+                names=sorted(checks.keys() - set(due)),
+            )
+        return due
+
     async def _delete(self, names: list[str]) -> None:
         try:
             await self.cloud.delete_instances(self.lease, names)
--- a/tests/test_former_leader.py
+++ b/tests/test_former_leader.py
@@ -99,6 +99,18 @@
     assert [call for call in calls if not call.is_by_leader] == []
 
 
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_no_machine_is_deleted_that_got_work_while_its_deletion_was_queued(seed: int) -> None:
+    # A machine whose deletion was queued drained no more, so that its holder used it meanwhile.
+    world = world_of_idle_machines(seed)
+    calls = record_cloud_calls(world)
+    run_until_first_deletion(world)
+    for number in range(MACHINES):
+        world.submit(f"j-{number}", **JOB)
+    world.run(world.clock.seconds() + 20.0)
+    assert [call for call in calls if call.with_tasks] == []
+
+
 class UnavailableCloud:
     """Answers no request to create instances, and counts those that it receives."""
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -310,7 +310,7 @@
     # The cloud's traffic is held, so the deletion stays in progress.
     world.network.cut(leader, "cloud", "hold")
     manager = world.nodes[leader].leader.instance_manager
-    manager.scale_in([machine])
+    manager.scale_in([machine], lambda name: True)
     world.run(world.clock.seconds() + 0.2)
     assert machine in manager.deleting
     if way == "leave":
