Jobs that have no room keep no other jobs out of the placement rounds

A gang of two that lost its machine waited for more than 90 s beside free room, behind 20 gangs of 16 tasks that had none.

Cause: a round took the first 16 jobs of a shape, and 64 in all, in the order of service, and a shape was what one task takes. Jobs without room stay in front, so that all others of their shape, or behind 64 of any shapes, were never tried.

Change: WaitingJobs keeps the jobs with unplaced tasks in order, by shape, as tasks end and are bound. Three quarters of a round go to the first ones, as before, the rest to the others in turn. A shape tells how many tasks are placed together and how they are spread over zones.

The two tests of select_jobs moved to test_waiting_jobs with the class that replaces it, with the same expectations for the first round, and one for the next round.

--- a/src/beamspar/jobs/attempt_statuses.py
+++ b/src/beamspar/jobs/attempt_statuses.py
@@ -14,6 +14,7 @@
 from beamspar.jobs.assignments import Assignments
 from beamspar.jobs.gang_attempts import GangAttempts
 from beamspar.jobs.job_writer import JobWriter
+from beamspar.jobs.placer import Placer
 from beamspar.jobs.task_retry import FAILURE_REASONS, ExitReason, avoid_machine, retry_pause_s
 from beamspar.protocol.peer_messages import AttemptState, AttemptStatus
 from beamspar.quota.quota_manager import QuotaManager
@@ -35,6 +36,7 @@
     """The part of the job controller that the status handler uses."""
 
     jobs: dict[str, Job]
+    placer: Placer
     writer: JobWriter
     quota_manager: QuotaManager | None
 
@@ -85,6 +87,8 @@
             # bindings, unless other jobs wait for the quota that storing the ends releases.
             if not job.placeable_indexes(now, 1) or self._is_quota_wanted(job):
                 self.job_store.writer.flush(job)
+            else:
+                self.job_store.placer.defer_write(job)
         if changed:
             self.job_store.schedule_placement()
 
@@ -167,6 +171,7 @@
         elif job.status == JobStatus.LIVE:
             self._delay_retry(job, task, status)
         job.retry_queue.append(index)
+        self.job_store.placer.waiting_jobs.add(job)
 
     def _unbind(self, job: Job, index: int, task: Task) -> None:
         if task.machine is not None:
--- a/src/beamspar/jobs/job_controller.py
+++ b/src/beamspar/jobs/job_controller.py
@@ -141,6 +141,7 @@
         is_new = job.id not in self.jobs
         if invariants.check(Invariant.JOB_IN_MEMORY_ONCE, is_new, lambda: job.id):
             self.jobs[job.id] = job
+            self.placer.waiting_jobs.add(job)
         return is_new
 
     def add_restored_job(self, job: Job) -> bool:
@@ -174,6 +175,7 @@
     def remove_job(self, job: Job, ended: bool = False) -> None:
         """Remove a job that has ended, or that another controller owns now."""
         self.jobs.pop(job.id, None)
+        self.placer.waiting_jobs.discard(job)
         if ended:
             self.loader.job_finished(job.id)
         for index, task in job.tasks.items():
--- a/src/beamspar/jobs/placement_round.py
+++ b/src/beamspar/jobs/placement_round.py
@@ -1,4 +1,4 @@
-"""Selection of the work of one placement round, and its capacity requests to the leader.
+"""The work of one placement round: how much of a job, and its capacity requests to the leader.
 
 Pure functions, without clock or I/O.
 """
@@ -13,26 +13,11 @@
 from beamspar.protocol.peer_messages import CapacityRequest, PlacementOffer
 from beamspar.workload.job import Job
 
-# Maximum number of pending jobs in one placement round, and of tasks of one job in it.
-JOBS_PER_ROUND = 64
+# Maximum number of tasks of one job in a placement round.
 TASKS_PER_JOB = 200
 # Maximum number of tasks of a lowest-priority job: the leader examines all machines for each task,
 # and the requests of all other controllers wait until it has handled the whole round.
 LOWEST_PRIORITY_TASKS_PER_JOB = 25
-# Maximum number of jobs of the same shape in one round.
-JOBS_PER_SHAPE = JOBS_PER_ROUND // 4
-
-
-class PlacementShape(msgspec.Struct, frozen=True):
-    """Properties that decide whether a job can be placed: equal shapes succeed or fail alike."""
-
-    cpus: float
-    gpus: float
-    memory_gb: float
-    kinds: tuple[str, ...]
-    zone: str | None
-    spot: bool
-    team: str
 
 
 class OfferedPlace(msgspec.Struct, frozen=True):
@@ -57,33 +42,6 @@
     return job.spec.is_placed_as_group and not job.bound_count
 
 
-def select_jobs(jobs: list[Job]) -> list[Job]:
-    """Select some jobs of each shape, in order: many without capacity must not block the others."""
-    selected: list[Job] = []
-    jobs_of_shape: dict[PlacementShape, int] = {}
-    for job in jobs:
-        shape = _shape_of(job)
-        jobs_of_shape[shape] = jobs_of_shape.get(shape, 0) + 1
-        if jobs_of_shape[shape] <= JOBS_PER_SHAPE:
-            selected.append(job)
-            if len(selected) >= JOBS_PER_ROUND:
-                break
-    return selected
-
-
-def _shape_of(job: Job) -> PlacementShape:
-    spec = job.spec
-    return PlacementShape(
-        spec.cpus,
-        spec.gpus,
-        spec.memory_gb,
-        tuple(spec.kinds or ()),
-        spec.zone,
-        spec.spot,
-        spec.team,
-    )
-
-
 def avoided_machines(job: Job, failed_after: float) -> set[str]:
     """Return the machines that no task of the job may be placed on now.
 
--- a/src/beamspar/jobs/placer.py
+++ b/src/beamspar/jobs/placer.py
@@ -22,10 +22,10 @@
     capacity_request,
     group_places,
     is_placed_together,
-    select_jobs,
     tasks_per_round,
 )
 from beamspar.jobs.task_binder import TaskBinder
+from beamspar.jobs.waiting_jobs import WaitingJobs
 from beamspar.placement import (
     UNKNOWN_ZONE,
     Preference,
@@ -100,6 +100,9 @@
         self.timeouts = timeouts
         self.job_store = job_store
         self.binder = TaskBinder(job_store)
+        self.waiting_jobs = WaitingJobs()
+        # By ID: jobs with ended attempts, which are written together with new bindings.
+        self._deferred_writes: dict[str, Job] = {}
         # Whether a round is running or its timer is set, and whether another one is to follow it.
         self.is_round_pending = False
         self.is_round_wanted = False
@@ -152,28 +155,33 @@
                 self.is_round_wanted = False
                 self.schedule()
 
+    def defer_write(self, job: Job) -> None:
+        """Write the job in the next round, in which its tasks may be placed again."""
+        self._deferred_writes[job.id] = job
+
     async def _place_pending_jobs(self) -> None:
-        now = self.clock.seconds()
-        pending = [job for job in self.job_store.jobs.values() if job.placeable_indexes(now, 1)]
-        self._flush_deferred(pending)
-        jobs = [job for job in pending if self._may_place(job)]
-        if not jobs or not self.registration.is_lease_valid():
+        if not self.registration.is_lease_valid():
             return
-        jobs.sort(key=lambda job: (job.spec.rank, job.waiting_since))
-        selected = select_jobs(jobs)
+        now = self.clock.seconds()
+        selected, has_passed_over = self.waiting_jobs.select(
+            lambda job: self._may_place(job) and bool(job.placeable_indexes(now, 1))
+        )
+        self._flush_deferred(selected)
         bound_before = sum(job.bound_count for job in selected)
         await self.place(selected)
-        for job in jobs:
+        for job in selected:
             self.job_store.writer.flush(job)
-        if len(selected) < len(jobs) and sum(job.bound_count for job in selected) > bound_before:
+        if has_passed_over and sum(job.bound_count for job in selected) > bound_before:
             # Some tasks were placed, so there may be capacity for the jobs left out, too.
             self.is_round_wanted = True
 
-    def _flush_deferred(self, jobs: list[Job]) -> None:
+    def _flush_deferred(self, selected: list[Job]) -> None:
         """Write the ended attempts of jobs that are not placed now, without new bindings."""
-        for job in jobs:
-            if not self._may_place(job):
-                self.job_store.writer.flush(job)
+        deferred, self._deferred_writes = self._deferred_writes, {}
+        for job in selected:
+            deferred.pop(job.id, None)
+        for job in deferred.values():
+            self.job_store.writer.flush(job)
 
     def _may_place(self, job: Job) -> bool:
         """Return whether the job may be placed now: the lowest priority waits for a busy processor.
--- a/src/beamspar/workload/job.py
+++ b/src/beamspar/workload/job.py
@@ -97,6 +97,12 @@
 
     # -- which tasks may be placed
 
+    @property
+    def has_unplaced_tasks(self) -> bool:
+        """Whether some tasks are neither bound nor completed; some of them may have to pause."""
+        has_tasks = bool(self.retry_queue) or self.next_unstarted < self.spec.tasks
+        return has_tasks and self.status == JobStatus.LIVE
+
     def placeable_indexes(self, now: float, limit: int) -> list[int]:
         """Return up to `limit` task indexes that may be placed now, retried tasks first.
 
--- a/tests/test_placement_round.py
+++ b/tests/test_placement_round.py
@@ -5,8 +5,6 @@
 import msgspec
 
 from beamspar.jobs.placement_round import (
-    JOBS_PER_ROUND,
-    JOBS_PER_SHAPE,
     LOWEST_PRIORITY_TASKS_PER_JOB,
     TASKS_PER_JOB,
     OfferedPlace,
@@ -14,7 +12,6 @@
     capacity_request,
     group_places,
     is_placed_together,
-    select_jobs,
     tasks_per_round,
 )
 from beamspar.protocol.jobs import JobSpec
@@ -29,21 +26,6 @@
     return Job(msgspec.structs.replace(SPEC, **changes), "rig-0.1", ChunkLayout(46), 0.0)
 
 
-def test_jobs_of_one_shape_do_not_crowd_out_others() -> None:
-    alike = [job(id=f"j-{number}") for number in range(100)]
-    others = [
-        job(id="j-large", cpus=8.0),
-        job(id="j-zone", zone="east"),
-        job(id="j-blue", team="blue"),
-    ]
-    assert select_jobs([*alike, *others]) == [*alike[:JOBS_PER_SHAPE], *others]
-
-
-def test_the_number_of_jobs_in_a_round_is_bounded() -> None:
-    jobs = [job(id=f"j-{number}", cpus=float(number)) for number in range(100)]
-    assert select_jobs(jobs) == jobs[:JOBS_PER_ROUND]
-
-
 def test_gangs_are_placed_as_a_whole_and_low_priority_jobs_in_small_parts() -> None:
     assert tasks_per_round(job()) == TASKS_PER_JOB
     assert tasks_per_round(job(priority="low")) == LOWEST_PRIORITY_TASKS_PER_JOB
