A spread replica is replaced in a zone in which it may be

A service of two tasks with scatter lost the only machine of its second zone; it was not replaced in 100 s, though five machines could be created there.

Cause: unmet demand was kept without the zones of the job's other tasks. The leader counted free machines of the first zone, where the replica may not be, as room for it, and created none.

Change: a need carries the job's tasks by zone where these limit it. Free capacity covers it, machines are created for it and kept from scale-in for it only as far as its zones allow.

Why it works: planner and offers now go by the same rule of zones (tasks_allowed_in_zone).

--- a/src/beamspar/leader/capacity_offers.py
+++ b/src/beamspar/leader/capacity_offers.py
@@ -140,7 +140,7 @@
             zones[zone] = zones.get(zone, 0) + 1
             machines[machine] = machines.get(machine, 0) + 1
             remaining -= 1
-        self.unmet_demand.record(spec, remaining, now)
+        self.unmet_demand.record(spec, remaining, now, zones)
         return offers
 
     def _reserve(self, spec: JobSpec, placement: Placement, now: float) -> PlacementOffer:
--- a/src/beamspar/leader/demand.py
+++ b/src/beamspar/leader/demand.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from beamspar.protocol.jobs import JobSpec
@@ -15,11 +17,16 @@
     request: CapacityRequest
 
 
+NO_PLACED_TASKS: Mapping[str, int] = MappingProxyType({})
+
+
 class CapacityNeed(NamedTuple):
     """Capacity that is needed for a number of tasks of one job or class."""
 
     spec: JobSpec
     tasks: int
+    # The job's other tasks by zone, if they limit the zones in which these may be placed.
+    zones: Mapping[str, int] = NO_PLACED_TASKS
 
 
 class _RecordedNeed(NamedTuple):
@@ -34,9 +41,16 @@
         self._lifetime_s = lifetime_s
         self._by_job: dict[str, _RecordedNeed] = {}
 
-    def record(self, spec: JobSpec, tasks: int, now: float) -> None:
-        """Record how many tasks of the job's latest request got no offer, 0 if it was met."""
-        self._by_job[spec.id] = _RecordedNeed(CapacityNeed(spec, tasks), now)
+    def record(
+        self, spec: JobSpec, tasks: int, now: float, zones: Mapping[str, int] = NO_PLACED_TASKS
+    ) -> None:
+        """Record how many tasks of the job's latest request got no offer, 0 if it was met.
+
+        `zones` counts the job's other tasks.
+        """
+        is_limited = spec.one_zone or spec.spread
+        need = CapacityNeed(spec, tasks, dict(zones) if is_limited else NO_PLACED_TASKS)
+        self._by_job[spec.id] = _RecordedNeed(need, now)
 
     def current(self, now: float) -> list[CapacityNeed]:
         """Return the unmet needs, the highest priority first; drop met and expired entries."""
--- a/src/beamspar/leader/draining.py
+++ b/src/beamspar/leader/draining.py
@@ -181,10 +181,9 @@
             capacity.is_usable = True
         free_cpus = {capacity.name: capacity.cpus for capacity in idle_capacities}
         capacities = groups.kept_capacities + idle_capacities
-        for spec, tasks in self.capacity_needs.current():
-            kept = tasks * KEPT_CAPACITY_FACTOR
-            zone_spec = self.instance_manager.bind_to_zone(spec, kept, capacities)
-            self.instance_manager.reserve_capacity(zone_spec, kept, capacities)
+        for need in self.capacity_needs.current():
+            kept = need._replace(tasks=need.tasks * KEPT_CAPACITY_FACTOR)
+            self.instance_manager.planner.reserve(kept, capacities)
         return {
             capacity.name
             for capacity in idle_capacities
--- a/src/beamspar/leader/instance_manager.py
+++ b/src/beamspar/leader/instance_manager.py
@@ -29,15 +29,14 @@
     InstancePage,
     NoCapacityError,
 )
+from beamspar.leader.demand import CapacityNeed
 from beamspar.leader.leader_lease import LeaderLease, LeaderLeaseError
 from beamspar.leader.scale_out_planning import (
     ScaleOut,
     ScaleOutPlanner,
     empty_capacity,
-    reserve_capacity,
 )
 from beamspar.protocol.cloud import Instance, MachineType
-from beamspar.protocol.jobs import JobSpec
 from beamspar.protocol.machine_capacity import MachineCapacity
 from beamspar.settings import Settings
 from beamspar.timeouts import Timeouts
@@ -258,7 +257,7 @@
     # -- scaling out
 
     def plan_scale_out(
-        self, needs: list[tuple[JobSpec, int]], capacities: list[MachineCapacity]
+        self, needs: list[CapacityNeed], capacities: list[MachineCapacity]
     ) -> ScaleOut | None:
         """Plan the next request for needs that free capacity and booting machines don't cover.
 
@@ -266,14 +265,6 @@
         """
         return self.planner.plan(needs, capacities + self._booting_capacities())
 
-    def bind_to_zone(self, spec: JobSpec, count: int, capacities: list[MachineCapacity]) -> JobSpec:
-        """Return the spec with the best zone filled in; see `ScaleOutPlanner.bind_to_zone`."""
-        return self.planner.bind_to_zone(spec, count, capacities)
-
-    def reserve_capacity(self, spec: JobSpec, count: int, capacities: list[MachineCapacity]) -> int:
-        """Subtract the capacity for tasks; see `scale_out_planning.reserve_capacity`."""
-        return reserve_capacity(spec, count, capacities)
-
     def _is_refused(self, place: Place) -> bool:
         until, _ = self.refusals.get(place, (0.0, 0.0))
         return until > self.clock.seconds()
--- a/src/beamspar/leader/scale_out_planning.py
+++ b/src/beamspar/leader/scale_out_planning.py
@@ -8,11 +8,14 @@
 import msgspec
 
 from beamspar.decision_log.decisions import Place
+from beamspar.leader.demand import CapacityNeed
 from beamspar.placement import (
     copy_capacity,
     fits_type,
     fitting_task_count,
     is_allowed,
+    is_zone_allowed,
+    tasks_allowed_in_zone,
     total_fitting_task_count,
 )
 from beamspar.protocol.cloud import MachineType
@@ -82,7 +85,7 @@
         self.is_refused = is_refused
 
     def plan(
-        self, needs: Iterable[tuple[JobSpec, int]], capacities: list[MachineCapacity]
+        self, needs: Iterable[CapacityNeed], capacities: list[MachineCapacity]
     ) -> ScaleOut | None:
         """Return the next request, None if there is nothing to create.
 
@@ -94,13 +97,17 @@
         capacities = list(capacities)
         group: _PlaceGroup | None = None
         total = 0
-        for need, count in needs:
-            spec = self.bind_to_zone(need, count, capacities)
+        for need in needs:
             # Capacity that this need uses is not available to the next one.
-            missing = count - reserve_capacity(spec, count, capacities)
+            unmet = self.reserve(need, capacities)
+            spec, missing, zones = unmet
             if missing <= 0:
                 continue
-            places = self._places(spec, capacities)
+            places = [
+                place
+                for place in self._places(spec, capacities)
+                if is_zone_allowed(spec, place[1], zones)
+            ]
             if not places or (group is not None and not group.matches(places)):
                 continue
             group = group or _group_places(places, capacities)
@@ -112,10 +119,19 @@
                 # create are ever listed, and no later need can change the request.
                 break
             created = [copy_capacity(empty) for _ in range(machines)]
-            reserve_capacity(spec, missing, created)
+            reserve_capacity(unmet, created)
             capacities += created
         return group.next_request(total) if group is not None else None
 
+    def reserve(self, need: CapacityNeed, capacities: list[MachineCapacity]) -> CapacityNeed:
+        """Subtract the capacity that the need uses; return the unmet rest of the need.
+
+        If its tasks must share a zone, the best one is filled in.
+        """
+        if not need.zones:
+            need = need._replace(spec=self.bind_to_zone(need.spec, need.tasks, capacities))
+        return need._replace(tasks=need.tasks - reserve_capacity(need, capacities))
+
     def bind_to_zone(self, spec: JobSpec, count: int, capacities: list[MachineCapacity]) -> JobSpec:
         """Return the spec with the best zone filled in if the tasks must share a zone.
 
@@ -165,15 +181,19 @@
     return -(-tasks // max(total_fitting_task_count(spec, [empty]), 1))
 
 
-def reserve_capacity(spec: JobSpec, count: int, capacities: Iterable[MachineCapacity]) -> int:
-    """Subtract the capacity for up to `count` tasks; return for how many there was enough."""
+def reserve_capacity(need: CapacityNeed, capacities: Iterable[MachineCapacity]) -> int:
+    """Subtract the capacity for the need's tasks; return for how many there was enough."""
+    spec, zones = need.spec, dict(need.zones)
     reserved = 0
     for capacity in capacities:
-        if reserved >= count:
+        if reserved >= need.tasks:
             break
-        if not is_allowed(spec, capacity, {}):
+        if not is_allowed(spec, capacity, zones):
             continue
-        fit = min(fitting_task_count(spec, capacity), count - reserved)
+        fit = min(fitting_task_count(spec, capacity), need.tasks - reserved)
+        if need.zones:
+            fit = min(fit, tasks_allowed_in_zone(spec, capacity.zone, zones))
+            zones[capacity.zone] = zones.get(capacity.zone, 0) + fit
         if fit > 0:
             capacity.reserve(spec, fit)
             reserved += fit
--- a/src/beamspar/leader/scaling.py
+++ b/src/beamspar/leader/scaling.py
@@ -74,9 +74,7 @@
             usable_capacities = [
                 capacity for capacity in self.fleet_view.capacities() if capacity.is_usable
             ]
-            plan = self.instance_manager.plan_scale_out(
-                [(need.spec, need.tasks) for need in needs], usable_capacities
-            )
+            plan = self.instance_manager.plan_scale_out(needs, usable_capacities)
             if plan is not None:
                 await self.instance_manager.scale_out(*plan)
         except (CloudUnavailableError, NoCapacityError, LeaderLeaseError) as error:
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -83,10 +83,17 @@
 
     Tasks in an unknown zone may be in any.
     """
+    return tasks_allowed_in_zone(spec, zone, zones) > 0
+
+
+def tasks_allowed_in_zone(spec: JobSpec, zone: str, zones: Mapping[str, int]) -> int:
+    """Return how many more tasks the job may have in the zone beside those counted in `zones`."""
     if spec.one_zone and any(count and other != zone for other, count in zones.items()):
-        return False
+        return 0
+    if not spec.spread:
+        return spec.tasks
     in_zone = zones.get(zone, 0) + zones.get(UNKNOWN_ZONE, 0)
-    return not spec.spread or in_zone < (spec.tasks + 1) // 2
+    return max((spec.tasks + 1) // 2 - in_zone, 0)
 
 
 def has_capacity(spec: JobSpec, capacity: MachineCapacity) -> bool:
--- a/tests/test_instance_manager.py
+++ b/tests/test_instance_manager.py
@@ -13,6 +13,7 @@
 import pytest
 
 from beamspar.decision_log.decisions import BootingMachine
+from beamspar.leader.demand import CapacityNeed
 from beamspar.leader.instance_manager import InstanceManager
 from beamspar.leader.leader_lease import LeaderLease
 from beamspar.leader.scale_out_planning import MAX_CREATED_AT_ONCE, ScaleOutPlanner
@@ -49,7 +50,7 @@
 
 def test_capacity_spread_over_zones_does_not_fit_a_one_zone_gang() -> None:
     place, count = instance_manager().plan_scale_out(
-        [(GANG, 4)], capacities(east=3, south=2, west=3)
+        [CapacityNeed(GANG, 4)], capacities(east=3, south=2, west=3)
     ) or (
         ("", "", False),
         0,
@@ -59,13 +60,14 @@
 
 
 def test_nothing_is_created_when_one_zone_fits_the_whole_gang() -> None:
-    assert instance_manager().plan_scale_out([(GANG, 4)], capacities(east=2, west=4)) is None
+    needs = [CapacityNeed(GANG, 4)]
+    assert instance_manager().plan_scale_out(needs, capacities(east=2, west=4)) is None
 
 
 def test_a_zone_that_recently_refused_is_skipped() -> None:
     manager = instance_manager()
     manager.refusals[("big", "east", False)] = (1e9, 1.0)
-    place, count = manager.plan_scale_out([(GANG, 4)], capacities(east=3, west=2)) or (
+    place, count = manager.plan_scale_out([CapacityNeed(GANG, 4)], capacities(east=3, west=2)) or (
         ("", "", False),
         0,
     )
@@ -78,9 +80,9 @@
     manager.booting["host-1"] = BootingMachine("big", "east", False, 0.0)
     task = JobSpec("j-2", "front", "red", "standing", "critical", 1, 30.0, 0.0, 1.0, "img", 1.0)
     manager.clock.now = BIG.boot_s * 1.4  # type: ignore[attr-defined]
-    assert manager.plan_scale_out([(task, 1)], []) is None
+    assert manager.plan_scale_out([CapacityNeed(task, 1)], []) is None
     manager.clock.now = BIG.boot_s * 1.6  # type: ignore[attr-defined]
-    assert manager.plan_scale_out([(task, 1)], []) is not None
+    assert manager.plan_scale_out([CapacityNeed(task, 1)], []) is not None
 
 
 def array(job: str, **fields: Any) -> JobSpec:
@@ -91,7 +93,8 @@
 def test_a_plan_for_the_largest_arrays_takes_no_memory_for_their_tasks() -> None:
     # A leader of 98 MB was killed for memory: it listed a machine for each of 200,000 tasks.
     planner = ScaleOutPlanner({"big": BIG}, lambda place: False)
-    needs = [(array("j-1"), 2 * MAX_TASKS), (array("j-2", cpus=20.0), 2 * MAX_TASKS)]
+    large, larger = array("j-1"), array("j-2", cpus=20.0)
+    needs = [CapacityNeed(spec, 2 * MAX_TASKS) for spec in (large, larger)]
     tracemalloc.start()
     plan = planner.plan(needs, capacities(east=1))
     _, peak = tracemalloc.get_traced_memory()
@@ -111,7 +114,7 @@
         capacity.cpus = 0.0
     planner = ScaleOutPlanner({"big": BIG}, lambda place: False)
     tasks_by_need = [needed // 2, needed - needed // 2]
-    needs = [(array(f"j-{n}"), tasks) for n, tasks in enumerate(tasks_by_need) if tasks]
+    needs = [CapacityNeed(array(f"j-{n}"), tasks) for n, tasks in enumerate(tasks_by_need) if tasks]
     plan = planner.plan(needs, full)
     emptiest = min(ZONES, key=lambda zone: (present.get(zone, 0), zone))
     target = -(-(sum(present.values()) + needed) // len(ZONES))
--- a/tests/test_many_tasks.py
+++ b/tests/test_many_tasks.py
@@ -214,4 +214,4 @@
     )
     world.run(20.0)
     leader = world.nodes[world.leader()].leader
-    assert {spec.priority for spec, _ in leader.capacity_needs.current()} == {"normal"}
+    assert {need.spec.priority for need in leader.capacity_needs.current()} == {"normal"}
