The largest gangs do not stop the leader while it chooses their machines

What callers would see: a leader that answers nobody for seconds.

Cause: the machines of a gang were chosen task by task, each among all machines, also when not all of its tasks fit.

Change: nothing is chosen if fewer tasks fit than are placed together. A gang's machine gets all tasks that it would get one after the other before the next one is chosen.

Why it works: a gang is packed, so the machine that holds its tasks stays the best one until it is full, or until the next task there would strand GPUs, which ends the block. Services of one zone and spread gangs are still chosen task by task.

--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -237,6 +237,9 @@
     best_warm = -1
     for zone in sorted({capacity.zone for capacity in capacities}) if spec.one_zone else [""]:
         candidates = [capacity for capacity in capacities if not zone or capacity.zone == zone]
+        if total_fitting_task_count(spec, candidates) < count:
+            # Known without a choice for each task that fits, of which there may be thousands.
+            continue
         chosen = _choose_one_by_one(
             spec, count, candidates, zones, machines, avoid, preferred, warm_only, preference
         )
@@ -265,6 +268,8 @@
     capacities = [copy_capacity(capacity) for capacity in candidates]
     originals = {capacity.name: capacity for capacity in candidates}
     in_zone, on_machine = dict(zones), dict(machines)
+    # A gang's machine stays the best one until it is full, as the gang is packed.
+    is_packed = spec.is_gang and not (spec.spread or zones or machines)
     chosen: list[MachineCapacity] = []
     while len(chosen) < count:
         capacity = choose_machine(
@@ -272,10 +277,21 @@
         )
         if capacity is None:
             break
-        capacity.reserve(spec)
-        in_zone[capacity.zone] = in_zone.get(capacity.zone, 0) + 1
-        on_machine[capacity.name] = on_machine.get(capacity.name, 0) + 1
-        chosen.append(originals[capacity.name])
+        strands_gpus = would_strand_gpus(spec, capacity, preference)
+        tasks = 0
+        while True:
+            capacity.reserve(spec)
+            tasks += 1
+            is_full = not has_capacity(spec, capacity)
+            if is_full or not is_packed or len(chosen) + tasks == count:
+                break
+            if would_strand_gpus(spec, capacity, preference) != strands_gpus:
+                # Other machines are better now, and this one is not full: it may be used later.
+                is_packed = False
+                break
+        in_zone[capacity.zone] = in_zone.get(capacity.zone, 0) + tasks
+        on_machine[capacity.name] = on_machine.get(capacity.name, 0) + tasks
+        chosen += [originals[capacity.name]] * tasks
     return chosen
 
 
