Spread needs create machines only where their job may use them; stale copies are not placed

Cause: the zones of a need were those before the free capacity that it uses, so that a machine could be created in a zone which that capacity fills already, again and again. And a copy of a job that is no longer in memory would have kept the present one out of the rounds, or been written in its place.

Change: the rest of a need has the zones after the reservation, and machines are counted as far as a zone allows. Rounds and deferred writes take the copy that is in memory.

Evidence: test_no_machines_are_created_where_free_ones_fill_the_zone_already and test_a_job_that_is_loaded_again_takes_the_place_of_the_earlier_copy.

--- a/src/beamspar/jobs/attempt_statuses.py
+++ b/src/beamspar/jobs/attempt_statuses.py
@@ -171,7 +171,7 @@
         elif job.status == JobStatus.LIVE:
             self._delay_retry(job, task, status)
         job.retry_queue.append(index)
-        self.job_store.placer.waiting_jobs.add(job)
+        self.job_store.placer.observe_unplaced(job)
 
     def _unbind(self, job: Job, index: int, task: Task) -> None:
         if task.machine is not None:
--- a/src/beamspar/jobs/job_controller.py
+++ b/src/beamspar/jobs/job_controller.py
@@ -141,7 +141,7 @@
         is_new = job.id not in self.jobs
         if invariants.check(Invariant.JOB_IN_MEMORY_ONCE, is_new, lambda: job.id):
             self.jobs[job.id] = job
-            self.placer.waiting_jobs.add(job)
+            self.placer.observe_unplaced(job)
         return is_new
 
     def add_restored_job(self, job: Job) -> bool:
--- a/src/beamspar/jobs/placer.py
+++ b/src/beamspar/jobs/placer.py
@@ -155,6 +155,15 @@
                 self.is_round_wanted = False
                 self.schedule()
 
+    def observe_unplaced(self, job: Job) -> None:
+        """Let the next rounds place the job's tasks, if it is still in memory."""
+        if self._is_in_memory(job):
+            self.waiting_jobs.add(job)
+
+    def _is_in_memory(self, job: Job) -> bool:
+        """Return whether this is the present copy of the job."""
+        return self.job_store.jobs.get(job.id) is job
+
     def defer_write(self, job: Job) -> None:
         """Write the job in the next round, in which its tasks may be placed again."""
         self._deferred_writes[job.id] = job
@@ -181,7 +190,8 @@
         for job in selected:
             deferred.pop(job.id, None)
         for job in deferred.values():
-            self.job_store.writer.flush(job)
+            if self._is_in_memory(job):
+                self.job_store.writer.flush(job)
 
     def _may_place(self, job: Job) -> bool:
         """Return whether the job may be placed now: the lowest priority waits for a busy processor.
--- a/src/beamspar/jobs/waiting_jobs.py
+++ b/src/beamspar/jobs/waiting_jobs.py
@@ -80,6 +80,9 @@
 
     def add(self, job: Job) -> None:
         """Add a job that may have unplaced tasks, unless it is there already."""
+        earlier = self._waiting.get(job.id)
+        if earlier is not None and earlier.job is not job:
+            self.discard(earlier.job)
         if job.has_unplaced_tasks and job.id not in self._waiting:
             self._count += 1
             waiting = WaitingJob(job.spec.rank, job.waiting_since, self._count, job)
--- a/src/beamspar/leader/scale_out_planning.py
+++ b/src/beamspar/leader/scale_out_planning.py
@@ -100,19 +100,18 @@
         for need in needs:
             # Capacity that this need uses is not available to the next one.
             unmet = self.reserve(need, capacities)
-            spec, missing, zones = unmet
-            if missing <= 0:
+            if unmet.tasks <= 0:
                 continue
             places = [
                 place
-                for place in self._places(spec, capacities)
-                if is_zone_allowed(spec, place[1], zones)
+                for place in self._places(unmet.spec, capacities)
+                if is_zone_allowed(unmet.spec, place[1], unmet.zones)
             ]
             if not places or (group is not None and not group.matches(places)):
                 continue
             group = group or _group_places(places, capacities)
             empty = self._empty_capacity(group.place)
-            machines = _machines_needed(spec, missing, empty)
+            machines = _machines_needed(unmet, empty)
             total += machines
             if group.next_request(total).machines == MAX_CREATED_AT_ONCE:
                 # The needs are not limited by the fleet: no more machines than one request can
@@ -130,7 +129,7 @@
         """
         if not need.zones:
             need = need._replace(spec=self.bind_to_zone(need.spec, need.tasks, capacities))
-        return need._replace(tasks=need.tasks - reserve_capacity(need, capacities))
+        return reserve_capacity(need, capacities)
 
     def bind_to_zone(self, spec: JobSpec, count: int, capacities: list[MachineCapacity]) -> JobSpec:
         """Return the spec with the best zone filled in if the tasks must share a zone.
@@ -176,28 +175,30 @@
         return empty_capacity(self.types[name], zone=zone, spot=spot)
 
 
-def _machines_needed(spec: JobSpec, tasks: int, empty: MachineCapacity) -> int:
-    """Return how many of these empty machines the tasks need."""
-    return -(-tasks // max(total_fitting_task_count(spec, [empty]), 1))
+def _machines_needed(need: CapacityNeed, empty: MachineCapacity) -> int:
+    """Return how many of these empty machines the need takes, as far as its zones allow."""
+    tasks = need.tasks
+    if need.zones:
+        tasks = min(tasks, tasks_allowed_in_zone(need.spec, empty.zone, need.zones))
+    return -(-tasks // max(total_fitting_task_count(need.spec, [empty]), 1))
 
 
-def reserve_capacity(need: CapacityNeed, capacities: Iterable[MachineCapacity]) -> int:
-    """Subtract the capacity for the need's tasks; return for how many there was enough."""
-    spec, zones = need.spec, dict(need.zones)
-    reserved = 0
+def reserve_capacity(need: CapacityNeed, capacities: Iterable[MachineCapacity]) -> CapacityNeed:
+    """Subtract the capacity for the need's tasks; return the rest, for which there is none."""
+    spec, missing, zones = need.spec, need.tasks, dict(need.zones)
     for capacity in capacities:
-        if reserved >= need.tasks:
+        if missing <= 0:
             break
         if not is_allowed(spec, capacity, zones):
             continue
-        fit = min(fitting_task_count(spec, capacity), need.tasks - reserved)
+        fit = min(fitting_task_count(spec, capacity), missing)
         if need.zones:
             fit = min(fit, tasks_allowed_in_zone(spec, capacity.zone, zones))
             zones[capacity.zone] = zones.get(capacity.zone, 0) + fit
         if fit > 0:
             capacity.reserve(spec, fit)
-            reserved += fit
-    return reserved
+            missing -= fit
+    return CapacityNeed(spec, missing, zones if need.zones else need.zones)
 
 
 def empty_capacity(
--- a/tests/test_scale_out_zones.py
+++ b/tests/test_scale_out_zones.py
@@ -72,10 +72,21 @@
 
 def test_free_capacity_covers_a_need_as_far_as_its_zones_allow() -> None:
     need = CapacityNeed(SPREAD, 3, {"east": 1})
-    assert reserve_capacity(need, capacities(east=5)) == 1
-    assert reserve_capacity(need, capacities(east=5, west=5)) == 3
+    assert reserve_capacity(need, capacities(east=5)).tasks == 2
+    assert reserve_capacity(need, capacities(east=5, west=5)).tasks == 0
     # The headroom of a class has no tasks placed, and may be in any zone.
-    assert reserve_capacity(CapacityNeed(SPREAD, 5), capacities(east=5)) == 5
+    assert reserve_capacity(CapacityNeed(SPREAD, 5), capacities(east=5)).tasks == 0
+
+
+def test_no_machines_are_created_where_free_ones_fill_the_zone_already() -> None:
+    # A machine that the job may not use would be created again and again.
+    planner = ScaleOutPlanner({"big": BIG}, lambda place: False)
+    need = CapacityNeed(SPREAD, 3, {"south": 1})
+    present = capacities(south=9)
+    plan = planner.plan([need], present)
+    assert plan is not None
+    assert plan.place[1] != "south" and plan.machines <= 2
+    assert planner.plan([need], capacities(south=9, **{plan.place[1]: 2})) is None
 
 
 def test_tasks_allowed_in_a_zone_beside_those_placed() -> None:
--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -144,6 +144,13 @@
     assert select(waiting_jobs) == [left]
 
 
+def test_a_job_that_is_loaded_again_takes_the_place_of_the_earlier_copy() -> None:
+    # A copy that is no longer in memory would keep the present one out of all rounds.
+    earlier, present = job(id="j-1"), job(id="j-1")
+    waiting_jobs = waiting([earlier, present])
+    assert [one is present for one in select(waiting_jobs)] == [True]
+
+
 def test_passed_over_jobs_are_told() -> None:
     few = waiting(job(id=f"j-{number}") for number in range(JOBS_PER_SHAPE))
     assert not few.select(lambda one: True).has_passed_over
