--- a/src/beamspar/leader/fleet_view.py
+++ b/src/beamspar/leader/fleet_view.py
@@ -11,7 +11,7 @@
 from beamspar.decision_log.decisions import CacheChanged
 from beamspar.leader.member_view import MemberView
 from beamspar.leader.tentative_reservations import TentativeReservations
-from beamspar.placement import copy_capacity, evict_least_recently_used
+from beamspar.placement import copy_capacity
 from beamspar.protocol.cloud import MachineType
 from beamspar.protocol.jobs import JobSpec
 from beamspar.protocol.machine_capacity import MachineCapacity
@@ -86,7 +86,7 @@
         if images.keys() - cached.keys():
             merged = {**{k: v for k, v in cached.items() if k not in images}, **images}
             if kind in self.machine_types:
-                evict_least_recently_used(merged, self.machine_types[kind])
+                self.machine_types[kind].evict_least_recently_used(merged)
             self.decision_log.record(CacheChanged(name, merged))
 
     def caches_changed_since(self, change_count: int) -> dict[str, dict[str, float]]:
--- a/src/beamspar/machines/image_caches.py
+++ b/src/beamspar/machines/image_caches.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Mapping
 
 from beamspar.machines.managed_machine import ManagedMachine
-from beamspar.placement import evict_least_recently_used
 from beamspar.protocol.cloud import MachineType
 
 
@@ -35,4 +34,4 @@
     def _evict(self, machine: ManagedMachine) -> None:
         types = self.types()
         if machine.info.kind in types:
-            evict_least_recently_used(machine.images, types[machine.info.kind])
+            types[machine.info.kind].evict_least_recently_used(machine.images)
--- a/src/beamspar/placement.py
+++ b/src/beamspar/placement.py
@@ -39,15 +39,6 @@
     return duplicate
 
 
-def evict_least_recently_used(images: dict[str, float], kind: MachineType) -> None:
-    """Remove the least recently used images until the rest fit into the machine's cache.
-
-    The most recently used image is always kept.
-    """
-    while sum(images.values()) > kind.cache_gb and len(images) > 1:
-        del images[next(iter(images))]
-
-
 def fits_type(spec: JobSpec, kind: MachineType) -> bool:
     """Return whether an empty machine of this type could run a task of the job."""
     if spec.kinds is not None and kind.name not in spec.kinds:
@@ -268,7 +259,7 @@
     capacities = [copy_capacity(capacity) for capacity in candidates]
     originals = {capacity.name: capacity for capacity in candidates}
     in_zone, on_machine = dict(zones), dict(machines)
-    # A gang's machine stays the best one until it is full, as the gang is packed.
+    # A gang is packed: a machine that holds some of its tasks stays the best one until it is full.
     is_packed = spec.is_gang and not (spec.spread or zones or machines)
     chosen: list[MachineCapacity] = []
     while len(chosen) < count:
@@ -277,24 +268,31 @@
         )
         if capacity is None:
             break
-        strands_gpus = would_strand_gpus(spec, capacity, preference)
-        tasks = 0
-        while True:
-            capacity.reserve(spec)
-            tasks += 1
-            is_full = not has_capacity(spec, capacity)
-            if is_full or not is_packed or len(chosen) + tasks == count:
-                break
-            if would_strand_gpus(spec, capacity, preference) != strands_gpus:
-                # Other machines are better now, and this one is not full: it may be used later.
-                is_packed = False
-                break
+        tasks = _fill(spec, capacity, count - len(chosen) if is_packed else 1, preference)
+        # A machine that is not full yet may be used again, beside others.
+        is_packed = is_packed and not has_capacity(spec, capacity)
         in_zone[capacity.zone] = in_zone.get(capacity.zone, 0) + tasks
         on_machine[capacity.name] = on_machine.get(capacity.name, 0) + tasks
         chosen += [originals[capacity.name]] * tasks
     return chosen
 
 
+def _fill(spec: JobSpec, capacity: MachineCapacity, most: int, preference: Preference) -> int:
+    """Reserve up to `most` tasks until the machine is full, or others are better; return how many.
+
+    Others are better once the next task would strand GPUs that the first one did not.
+    """
+    strands_gpus = would_strand_gpus(spec, capacity, preference)
+    for tasks in range(1, most + 1):
+        capacity.reserve(spec)
+        if (
+            not has_capacity(spec, capacity)
+            or would_strand_gpus(spec, capacity, preference) != strands_gpus
+        ):
+            return tasks
+    return most
+
+
 def choose_group_preemption(
     spec: JobSpec, count: int, capacities: list[MachineCapacity], avoid: Collection[str] = ()
 ) -> list[MachineCapacity]:
--- a/src/beamspar/protocol/cloud.py
+++ b/src/beamspar/protocol/cloud.py
@@ -34,6 +34,14 @@
     boot_s: float = 60.0
     zones: list[str] = msgspec.field(name="yards", default_factory=list)
 
+    def evict_least_recently_used(self, images: dict[str, float]) -> None:
+        """Remove the least recently used images until the rest fit into the machine's cache.
+
+        The most recently used image is always kept.
+        """
+        while sum(images.values()) > self.cache_gb and len(images) > 1:
+            del images[next(iter(images))]
+
 
 class Instance(msgspec.Struct):
     """A machine in the cloud's instance list, which is stale by several seconds."""
