--- a/tests/test_scale_out_zones.py
+++ b/tests/test_scale_out_zones.py
@@ -82,11 +82,14 @@
     # A machine that the job may not use would be created again and again.
     planner = ScaleOutPlanner({"big": BIG}, lambda place: False)
     need = CapacityNeed(SPREAD, 3, {"south": 1})
-    present = capacities(south=9)
-    plan = planner.plan([need], present)
+    # The zone with the fewest machines comes first.
+    full = capacities(east=3, west=3)
+    for capacity in full:
+        capacity.cpus = 0.0
+    plan = planner.plan([need], [*full, *capacities(south=1)])
     assert plan is not None
     assert plan.place[1] != "south" and plan.machines <= 2
-    assert planner.plan([need], capacities(south=9, **{plan.place[1]: 2})) is None
+    assert planner.plan([need], capacities(south=1, **{plan.place[1]: 2})) is None
 
 
 def test_tasks_allowed_in_a_zone_beside_those_placed() -> None:
