--- a/tests/standins/links.py
+++ b/tests/standins/links.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 
+from beamspar.transport.clock import run_in_background
 from beamspar.transport.http import CallFailedError, Handler, HttpRequest, HttpResponse
 from beamspar.transport.http_server import Site, _Request
 from tests.standins.loopback import BODY_LIMIT, LoopbackNetwork, LoopbackWorker, LoopbackWorld
@@ -132,9 +134,26 @@
         await self._cross(source, target)
         self.caller, self.caller_generation = source, generation
         response = await handler(request)
+        self.repeater.observe_answer(
+            request.method,
+            request.path,
+            target,
+            response.status,
+            lambda: run_in_background(
+                self._pass_copy(source, generation, target, handler, request), "copy"
+            ),
+        )
         await self._cross(target, source)
         return response._replace(body=self._with_worker_hosts_of(source, response.body))
 
+    async def _pass_copy(
+        self, source: str, generation: int, target: str, handler: Handler, request: HttpRequest
+    ) -> None:
+        """Pass a request that was answered before once more; nobody waits for its response."""
+        await self._cross(source, target)
+        self.caller, self.caller_generation = source, generation
+        await handler(request)
+
     def _listen(self, address: str, handler: Handler, host: str = HOST) -> Any:
         self.real_address(address)
         site = LinkSite(self.reactor, handler, BODY_LIMIT, MAX_CONNECTIONS, IDLE_S)
@@ -192,9 +211,26 @@
             )
         except CallFailedError:
             return NO_RESPONSE
+        copy = request._replace(body=body)
+        self.repeater.observe_answer(
+            request.method,
+            request.path,
+            target,
+            response.status,
+            lambda: run_in_background(self._relay_copy(source, target, copy), "copy"),
+        )
         await self._cross(target, source)
         return response._replace(body=self._with_worker_hosts_of(source, response.body))
 
+    async def _relay_copy(self, source: str, target: str, request: HttpRequest) -> None:
+        """Pass a call between controllers that was answered before once more."""
+        await self._cross(source, target)
+        address = self.real_address(f"{target}:81")
+        with contextlib.suppress(CallFailedError):
+            await self.net.request(
+                request.method, address, request.path, request.body, RELAY_TIMEOUT_S
+            )
+
     def open_links_of(self, name: str, others: list[str]) -> None:
         """Listen for the calls of a controller to the stand-ins, and of the others to it."""
         for address, serve_link in self.controller_handlers.items():
--- a/tests/standins/net.py
+++ b/tests/standins/net.py
@@ -11,6 +11,7 @@
 from beamspar.transport.connection_limits import ConnectionLimits, may_stay_open
 from beamspar.transport.http import CallFailedError, Handler, HttpRequest, HttpResponse
 from tests.standins.clock import SimClock
+from tests.standins.repeated_requests import RequestRepeater
 
 
 class Network:
@@ -24,6 +25,7 @@
         self.clock = clock
         self.rng = rng
         self.latency = latency
+        self.repeater = RequestRepeater(clock, 0)
         self.handlers: dict[str, tuple[str, Handler]] = {}
         self.generation: dict[str, int] = {}
         self.cuts: dict[tuple[str, str], str] = {}
@@ -200,23 +202,50 @@
             if connection is None:
                 self.send_message(target, source, lambda: settle(None))
                 return
-            name, _, query_text = path.partition("?")
-            query = dict(p.partition("=")[::2] for p in query_text.split("&") if p)
+            http_request = _parse_request(method, path, body)
             self.caller, self.caller_generation = source, generation
-            handling = ensureDeferred(
-                _call_handler(entry[1], HttpRequest(method, name, query, body or b""))
-            )
+            handling = ensureDeferred(_call_handler(entry[1], http_request))
             handling.addBoth(
                 lambda result: (self._close_connection(connection, address), result)[1]
             )
-            handling.addCallback(
-                lambda response: self.send_message(target, source, lambda: settle(response))
-            )
+
+            def answer(response: HttpResponse) -> None:
+                self.send_message(target, source, lambda: settle(response))
+                self.repeater.observe_answer(
+                    method,
+                    path,
+                    target,
+                    response.status,
+                    lambda: self.send_message(source, target, deliver_copy),
+                )
+
+            handling.addCallback(answer)
             handling.addErrback(lambda _: self.send_message(target, source, lambda: settle(None)))
 
+        def deliver_copy() -> None:
+            self._deliver_copy(source, generation, address, _parse_request(method, path, body))
+
         self.send_message(source, target, arrive)
         return result
 
+    def _deliver_copy(
+        self, source: str, generation: int, address: str, request: HttpRequest
+    ) -> None:
+        """Deliver a copy of a request that was answered before; nobody waits for its response."""
+        target, handler = self.handlers[address]
+        wait_s = self.seconds_until_ready(target)
+        if wait_s > 0:
+            self.clock.callLater(wait_s, self._deliver_copy, source, generation, address, request)
+        elif target in self.alive:
+            self.caller, self.caller_generation = source, generation
+            ensureDeferred(_call_handler(handler, request)).addErrback(lambda _: None)
+
+
+def _parse_request(method: str, path: str, body: bytes | None) -> HttpRequest:
+    name, _, query_text = path.partition("?")
+    query = dict(p.partition("=")[::2] for p in query_text.split("&") if p)
+    return HttpRequest(method, name, query, body or b"")
+
 
 async def _call_handler(handler: Handler, request: HttpRequest) -> HttpResponse:
     return await handler(request)
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -18,6 +18,7 @@
 from tests.standins.gangs import Gangs
 from tests.standins.net import HostClock, HostNet, Network
 from tests.standins.ownership import OwnershipChecker
+from tests.standins.repeated_requests import Receiver, RequestRepeater
 from tests.standins.state import StateStandin, Writer
 from tests.standins.stored_use import StoredUse
 from tests.standins.workers import CloudStandin, Worker
@@ -44,6 +45,7 @@
         self.clock = self.make_clock()
         self.rng = random.Random(seed)
         self.network = self.make_network()
+        self.network.repeater = RequestRepeater(self.clock, seed)
         self.worker_settings = {
             "report_s": 3.0, "lease_s": 15.0, "cancel_s": 45.0,
             "gang_wait_s": 30.0, "gang_peer_s": 4.0, **options.get("workers", {})
@@ -274,6 +276,12 @@
         node = self.rng.choice(self.names)
         self.clock.callLater(delay_s, self.call, node, "POST", "/v1/report", body)
 
+    def repeat_requests(
+        self, share: float, receivers: frozenset[Receiver] = frozenset(Receiver)
+    ) -> None:
+        """Let this share of answered requests to these receivers arrive once more, much later."""
+        self.network.repeater.start(share, self.worker_settings["lease_s"], receivers)
+
     def block_heartbeats(self, machine: str) -> None:
         """Block the machine's connections to all controllers; commands and their responses pass."""
         self.network.blocked_pairs.update((machine, node) for node in self.names)
--- a/tests/test_late_heartbeat_copies.py
+++ b/tests/test_late_heartbeat_copies.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -25,9 +26,15 @@
 ZONE = "west"
 
 
-def world_with_a_running_task(**fields: Any) -> tuple[World, Worker]:
-    """Return a world in which one controller owns a job and another holds its task's machine."""
+def world_with_a_running_task(
+    on_world: Callable[[World], object] = lambda world: None, **fields: Any
+) -> tuple[World, Worker]:
+    """Return a world in which one controller owns a job and another holds its task's machine.
+
+    `on_world` is called with the world before the job is submitted.
+    """
     world = World(machines=[{"kind": "small", "zone": ZONE, "count": 3}], **fields.pop("world", {}))
+    on_world(world)
     world.run(8)
     world.submit(JOB, OWNER, yard=ZONE, **fields)
     world.run(12)
