An attempt is cleared only under a higher token than its start had

Cause: a worker forgets an attempt with its clear, and a copy of the start that comes later, under the same token and in the same session, runs it once more. The holder took an answer to a start as proof that no copy of it is in transit (`SentStart.is_known_executed`), so it cleared under the start's own token, and declared gone what a heartbeat did not list any more. Class: a right that lapses (to start this attempt) was bound to the worker's record alone, and the clear removes that record.

Clears leave only under a higher token than the start (`may_clear`); one raise for all clears of a message, in that message. Absence counts as `gone` only once the start is superseded. The token that the worker has confirmed is kept as a number, so that a machine stays usable while a raise is under way. Starts that were planned before a raise wait for its confirmation. Second line: an attempt that is over and reported as running is stopped at once. Two invariants, a line for each clear, two metrics.

Why it works: a message with a higher token makes the worker refuse all lower ones before it executes the clear. The bound of a raise is unchanged: the mirror's revision, which every later holder exceeds.

Tests that held the wrong rule are replaced by stricter ones: an answered start that is not listed any more was declared gone at once, and an ended attempt with an answered start cleared at once; both now need the higher token, for every exit reason.

--- a/src/beamspar/invariants.py
+++ b/src/beamspar/invariants.py
@@ -22,6 +22,8 @@
     RUN_FOR_JOB_IN_MEMORY = "an attempt is desired to run only by the job in memory"
     CANCELLATION_OUTLASTS_ATTEMPTS = "a cancellation is dropped after the job's last attempt"
     START_PERMITTED = "a start leaves only for an attempt that is neither cancelled nor over"
+    CLEAR_SUPERSEDES_START = "a clear leaves only under a higher token than its attempt's start"
+    ATTEMPT_RUNS_ONCE = "an attempt that is over does not run again under the same fencing token"
 
 
 # The number of violations since the start of the process, by invariant.
--- a/src/beamspar/machines/command_planning.py
+++ b/src/beamspar/machines/command_planning.py
@@ -40,6 +40,8 @@
         self.mirror = mirror
         self.summaries = summaries
         self.timeouts = timeouts
+        # The number of times that a command token was raised.
+        self.raised_tokens = 0
 
     # -- attempts that the worker reports
 
@@ -61,10 +63,30 @@
             if grace_s is not None and not (is_saving_already and grace_s > 0):
                 commands.append(StopCommand(key.task, key.attempt, grace_s))
         for key, task in present:
-            if _is_to_be_cleared(machine, key, task):
+            if _is_clear_due(machine, key, task) and machine.may_clear(key):
                 commands.append(ClearCommand(key.task, key.attempt))
         return commands
 
+    def raise_token_for_clears(self, machine: ManagedMachine) -> None:
+        """Raise the command token if clears are due that would not supersede their starts.
+
+        The clears then leave with the raised token, as soon as the mirror has a revision for it.
+        """
+        if not machine.has_confirmed_token or machine.is_sending_commands:
+            return
+        if self.clears_on_hold(machine):
+            self._raise_token(machine)
+
+    def clears_on_hold(self, machine: ManagedMachine) -> list[AttemptKey]:
+        """Return the ended attempts whose clears have to wait for a higher command token."""
+        return [
+            key
+            for key in machine.pending_keys
+            if key in machine.tasks
+            and _is_clear_due(machine, key, machine.tasks[key])
+            and not machine.may_clear(key)
+        ]
+
     def _stop_grace_s(
         self, machine: ManagedMachine, key: AttemptKey, may_be_cancelled: bool
     ) -> float | None:
@@ -96,7 +118,7 @@
         """Return the start commands that are due.
 
         Marks attempts that can no longer run as terminated, selects attempts to preempt, and raises
-        the command token to prevent indeterminate starts that must not be executed.
+        the command token to supersede starts that must not be executed any more.
         """
         commands: list[Command] = []
         if not machine.has_confirmed_token:
@@ -137,9 +159,9 @@
         may_need_start = desired.action in (DesiredAction.RUN, DesiredAction.HOLD)
         if start is None and are_starts_paused and may_need_start:
             return NextStep.WAIT
-        if start is not None and start.is_known_executed:
-            # It was running, and a newer heartbeat does not list it.
-            return NextStep.DECLARE_GONE
+        if start is not None and start.is_answered:
+            # The worker had it, and a newer heartbeat does not list it.
+            return _next_step_of_unwanted(machine, start)
         if desired.action == DesiredAction.HOLD:
             return self._next_step_of_hold(machine, key, desired)
         if desired.action == DesiredAction.RUN and not self.mirror.is_cancelled(key.job):
@@ -216,14 +238,14 @@
             if key in machine.terminated or key in machine.tasks:
                 continue
             start = machine.starts.get(key)
-            if start is None or start.is_known_executed or machine.is_superseded(start):
+            if start is None or machine.is_superseded(start):
                 machine.orphaned.discard(key)
             elif not machine.is_sending_commands:
                 self._raise_token(machine)
                 return
 
     def _raise_token(self, machine: ManagedMachine) -> None:
-        """Raise the command token to supersede an unwanted start that may still be in transit.
+        """Raise the command token to supersede starts of which copies may still be in transit.
 
         According to the mirror this controller holds the machine. A lease that the mirror lacks is
         newer than the mirror's revision, and so is its fencing token, so this controller may raise
@@ -231,14 +253,16 @@
         attempt at once, would start a task that its user has cancelled.
         """
         if self.mirror.revision > machine.command_token:
-            machine.command_token = self.mirror.revision
-            machine.has_confirmed_token = False
-            machine.mark_all_changed()
             log.info(
-                "{machine}: raised the command token to {token} to supersede indeterminate starts",
+                "{machine}: raised the command token from {former_token} to {token} to supersede "
+                "earlier starts",
                 machine=machine.info.name,
-                token=machine.command_token,
+                former_token=machine.command_token,
+                token=self.mirror.revision,
             )
+            machine.command_token = self.mirror.revision
+            machine.is_converged = False
+            self.raised_tokens += 1
 
     # -- convergence
 
@@ -284,10 +308,8 @@
         )
 
 
-def _is_to_be_cleared(machine: ManagedMachine, key: AttemptKey, task: TaskStatus) -> bool:
-    # After a clear the worker no longer has a record of the attempt, so a start still in transit
-    # would run it once more: an attempt is never cleared while its start is indeterminate.
-    if task.status != "ended" or machine.has_indeterminate_start(key):
+def _is_clear_due(machine: ManagedMachine, key: AttemptKey, task: TaskStatus) -> bool:
+    if task.status != "ended":
         return False
     desired = machine.desired_attempts.get(key)
     return key in machine.orphaned or (
@@ -296,9 +318,9 @@
 
 
 def _next_step_of_unwanted(machine: ManagedMachine, start: SentStart | None) -> NextStep:
-    """Return the next step for an attempt that must not run.
+    """Return the next step for an attempt that must not run, or not again.
 
-    Its desired action is to stop or clear it, or its job is cancelled.
+    Its desired action is to stop or clear it, its job is cancelled, or it has run already.
     """
     if start is None:
         # A heartbeat that confirms the command token does not list it, commands under older tokens
--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -11,7 +11,7 @@
 from beamspar.machines.reconciler import Reconciler
 from beamspar.machines.worker_client import CommandResult, WorkerClient
 from beamspar.machines.worker_observation import WorkerObserver
-from beamspar.protocol.workers import Command, StartCommand, first_commands
+from beamspar.protocol.workers import ClearCommand, Command, StartCommand, first_commands
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock, run_in_background
 from beamspar.transport.http import CallFailedError
@@ -49,7 +49,7 @@
     async def _send(self, machine: ManagedMachine, commands: list[Command]) -> None:
         epoch, token = machine.agent_epoch, machine.command_token
         sent_starts: dict[AttemptKey, SentStart] = {}
-        commands = [command for command in commands if self._is_permitted(machine, command)]
+        commands = self.permitted(machine, commands)
         for command in commands:
             if isinstance(command, StartCommand):
                 key = AttemptKey(command.task, command.attempt)
@@ -79,11 +79,22 @@
             machine.next_send_at = max(machine.next_send_at, earliest)
         self.reconciler.reconcile(machine)
 
+    def permitted(self, machine: ManagedMachine, commands: list[Command]) -> list[Command]:
+        """Return the commands without those that would violate an invariant.
+
+        Must be called as the commands leave, under the command token that the machine has then.
+        """
+        return [command for command in commands if self._is_permitted(machine, command)]
+
     def _is_permitted(self, machine: ManagedMachine, command: Command) -> bool:
-        """Check a start at the last moment before it leaves."""
-        if not isinstance(command, StartCommand):
-            return True
         key = AttemptKey(command.task, command.attempt)
+        if isinstance(command, StartCommand):
+            return self._is_start_permitted(machine, key)
+        if isinstance(command, ClearCommand):
+            return _is_clear_permitted(machine, key)
+        return True
+
+    def _is_start_permitted(self, machine: ManagedMachine, key: AttemptKey) -> bool:
         is_cancelled = self.mirror.is_cancelled(key.job)
         is_over = key in machine.terminated
         is_permitted = (
@@ -143,6 +154,29 @@
         machine.is_sending_commands = False
 
 
+def _is_clear_permitted(machine: ManagedMachine, key: AttemptKey) -> bool:
+    start = machine.starts.get(key)
+    start_token = start.fencing_token if start is not None else 0
+    is_permitted = invariants.check(
+        Invariant.CLEAR_SUPERSEDES_START,
+        machine.may_clear(key),
+        lambda: (
+            f"{key} on {machine.info.name}: its start has token {start_token}, the clear "
+            f"{machine.command_token}"
+        ),
+    )
+    if is_permitted:
+        log.info(
+            "{machine}: sending the clear of {key} under fencing token {token}, its start here had "
+            "{start_token}",
+            machine=machine.info.name,
+            key=key,
+            token=machine.command_token,
+            start_token=start_token,
+        )
+    return is_permitted
+
+
 def _record_start(machine: ManagedMachine, key: AttemptKey, epoch: int, token: int) -> SentStart:
     """Record a start before it is sent, because from then on the worker may execute it."""
     start = machine.starts.setdefault(key, SentStart(epoch, token))
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -234,7 +234,7 @@
         # may still be pending, and no other is sent until it completes.
         commands = first_commands(self.planner.plan_stops_and_clears(machine))
         self.reconcile(machine)
-        return HeartbeatReply(machine.command_token, commands)
+        return HeartbeatReply(machine.command_token, self.sender.permitted(machine, commands))
 
     def apply_desired_state(self, update: DesiredStateUpdate) -> list[AttemptStatus]:
         """Apply a job controller's desired state of one partition; ignore outdated updates.
@@ -267,16 +267,20 @@
         if self.managed_machine(machine.info.name) is not machine:
             return
         now = self.clock.seconds()
+        if now >= machine.next_send_at:
+            self.planner.raise_token_for_clears(machine)
         starts = self.planner.plan_starts(machine)
         due = self.planner.plan_stops_and_clears(machine) + starts
-        # No start is based on a mirror that may lack a cancellation.
-        commands = due if self.mirror.is_current() else [c for c in due if c not in starts]
+        # No start is based on a mirror that may lack a cancellation, or leaves under a token that
+        # was raised meanwhile.
+        may_start = self.mirror.is_current() and machine.has_confirmed_token
+        commands = due if may_start else [c for c in due if c not in starts]
         self.publisher.publish(machine)
         self.planner.update_convergence(machine, due)
         if machine.is_sending_commands or now < machine.next_send_at:
             return
         # Even without commands, a message is sent if the worker has not confirmed the command token
-        # or the last message failed: the machine is unusable until the worker replies. Until the
+        # or the last message failed: nothing is started until the worker replies. Until the shard's
         # token is confirmed, the message carries no commands.
         is_reply_wanted = (
             not machine.has_confirmed_token
@@ -284,7 +288,8 @@
             or self.summaries.crowding.is_read_due(machine)
         )
         if commands or is_reply_wanted:
-            self.sender.send_in_background(machine, commands if machine.has_confirmed_token else [])
+            may_command = machine.has_confirmed_fencing_token
+            self.sender.send_in_background(machine, commands if may_command else [])
 
     def pause_starts(self, machine: ManagedMachine, until: float) -> None:
         """Start no attempts on the machine until the given time.
@@ -319,7 +324,7 @@
                 self.publisher.publish(machine)
             if machine.is_converged and not self.summaries.crowding.is_read_due(machine):
                 continue
-            if machine.has_confirmed_token:
+            if machine.has_confirmed_fencing_token:
                 self.orphan_detector.check(machine, now)
             self.reconcile(machine)
 
@@ -339,6 +344,10 @@
 
     # -- summaries
 
+    def count_clears_on_hold(self) -> int:
+        """Return the number of clears that wait for a higher command token."""
+        return sum(len(self.planner.clears_on_hold(machine)) for machine in self.machines.values())
+
     @property
     def change_count(self) -> int:
         """The number of machine changes counted so far."""
--- a/src/beamspar/machines/machine_summaries.py
+++ b/src/beamspar/machines/machine_summaries.py
@@ -37,7 +37,7 @@
     def is_usable(self, machine: ManagedMachine) -> bool:
         """Return whether new work may be started on the machine now."""
         return (
-            machine.has_confirmed_token
+            machine.has_confirmed_fencing_token
             and not machine.is_expired
             and machine.termination_notice_s is None
             and not machine.is_draining
@@ -121,7 +121,7 @@
         return MachineStatus(
             self.capacity(machine),
             machine.fencing_token,
-            machine.has_confirmed_token,
+            machine.has_confirmed_fencing_token,
             machine.is_expired,
             machine.quarantined_until > now,
             machine.is_degraded,
--- a/src/beamspar/machines/managed_machine.py
+++ b/src/beamspar/machines/managed_machine.py
@@ -60,20 +60,19 @@
 
 
 class SentStart(msgspec.Struct, eq=False):
-    """A start command that was sent, and what is known about its execution."""
+    """A start command that was sent, and what is known about its execution.
+
+    Even one that was answered may be executed again, for a copy of it may still be in transit. Only
+    the worker's record of the attempt, a higher fencing token or another agent epoch prevents that.
+    """
 
     agent_epoch: int
     fencing_token: int
     # Whether the worker has confirmed its execution.
     is_answered: bool = False
-    # Whether a copy of it may still be in transit.
+    # Whether it was sent at least once without an answer.
     is_indeterminate: bool = False
 
-    @property
-    def is_known_executed(self) -> bool:
-        """Whether it was executed and no copy of it may still be in transit."""
-        return self.is_answered and not self.is_indeterminate
-
 
 @dataclass(eq=False)
 class ManagedMachine:
@@ -89,11 +88,11 @@
     # -- the worker
 
     # The token that commands carry: the shard's fencing token, or a higher one that supersedes
-    # indeterminate starts.
+    # earlier starts.
     command_token: int = field(init=False)
-    # Whether the worker has confirmed the command token. If so, it executes no command with
-    # a lower token.
-    has_confirmed_token: bool = False
+    # The fencing token that the worker had seen when it sent its newest message. It executes no
+    # command with a lower one.
+    confirmed_token: int = 0
     # Whether the worker sent the newest message after it had seen the fencing token. Until then,
     # the tasks below may be from a late copy: the worker may have begun another agent epoch since.
     is_observation_current: bool = False
@@ -185,6 +184,16 @@
         self.command_token = self.fencing_token
         self.last_heartbeat_at = self.next_send_at = self.idle_since = now
 
+    @property
+    def has_confirmed_token(self) -> bool:
+        """Whether the worker has confirmed the command token."""
+        return self.confirmed_token == self.command_token
+
+    @property
+    def has_confirmed_fencing_token(self) -> bool:
+        """Whether the worker has confirmed the shard's token, so it obeys no earlier holder."""
+        return self.confirmed_token >= self.fencing_token
+
     def mark_changed(self, *attempts: AttemptKey) -> None:
         """Record that the machine's state has changed.
 
@@ -260,7 +269,7 @@
         return task.status == "fetching"
 
     def has_indeterminate_start(self, key: AttemptKey) -> bool:
-        """Return whether a start that the worker would execute may still be in transit.
+        """Return whether a start of the attempt got no answer and may still be executed.
 
         Only starts that this controller sent count.
         """
@@ -272,7 +281,17 @@
 
         If so, it does not execute the start any more.
         """
-        return self.has_confirmed_token and start.fencing_token < self.command_token
+        return start.fencing_token < self.confirmed_token
+
+    def may_clear(self, key: AttemptKey) -> bool:
+        """Return whether a clear under the command token supersedes the attempt's start.
+
+        The worker observes the token before it executes the clear, so whenever it has no record of
+        the attempt, it refuses all copies of the start. Starts of earlier holders have a lower
+        token than the shard's.
+        """
+        start = self.starts.get(key)
+        return start is None or start.fencing_token < self.command_token
 
     def is_live(self, key: AttemptKey) -> bool:
         """Return whether this attempt uses resources now or will as soon as it is started."""
--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -10,10 +10,17 @@
 
 from twisted.logger import Logger
 
+from beamspar import invariants
+from beamspar.invariants import Invariant
 from beamspar.machines.crowding import observe_lease_expiry
 from beamspar.machines.fault_evidence import FaultEvidence
 from beamspar.machines.image_caches import ImageCaches
-from beamspar.machines.managed_machine import AttemptKey, HeartbeatId, ManagedMachine
+from beamspar.machines.managed_machine import (
+    AttemptKey,
+    HeartbeatId,
+    ManagedMachine,
+    SentStart,
+)
 from beamspar.protocol.peer_messages import AttemptState
 from beamspar.protocol.workers import TaskState, TaskStatus, WorkerHeartbeat
 from beamspar.transport.clock import Clock
@@ -77,11 +84,11 @@
             self._begin_agent_epoch(machine, heartbeat.agent_epoch)
         machine.agent_epoch, machine.observed_seq = heartbeat.agent_epoch, heartbeat.seq
         machine.is_expired = False
-        is_token_or_notice_changed = _observe_token_and_notice(machine, heartbeat)
+        requires_new_plan = _observe_token_and_notice(machine, heartbeat)
         if heartbeat.observed_fencing_token >= machine.fencing_token:
             _confirm_observation(machine)
         changed, absent = _observe_tasks(machine, heartbeat.tasks)
-        if is_token_or_notice_changed:
+        if requires_new_plan:
             machine.mark_all_changed()
         if changed or absent:
             machine.mark_changed(*absent, *changed)
@@ -102,7 +109,7 @@
         )
         observe_lease_expiry(machine)
         machine.is_expired = True
-        machine.has_confirmed_token = False
+        machine.confirmed_token = 0
         machine.min_agent_epoch = machine.agent_epoch + 1 if machine.agent_epoch else 0
         for key in set(machine.desired_attempts) | set(machine.starts) | set(machine.tasks):
             if key not in machine.terminated:
@@ -139,12 +146,12 @@
     def _record_answer(self, machine: ManagedMachine) -> None:
         """Record the time of an answer to the worker.
 
-        Only a worker that has confirmed the command token rejects answers of a previous holder;
+        Only a worker that has confirmed the shard's token rejects answers of a previous holder;
         until then, the recorded time of the last possible answer is never moved back.
         """
         now = self.clock.seconds()
         machine.answered_at = now
-        if machine.has_confirmed_token:
+        if machine.has_confirmed_fencing_token:
             machine.last_possible_answer_at = now
         else:
             machine.last_possible_answer_at = max(machine.last_possible_answer_at, now)
@@ -153,6 +160,8 @@
         self, machine: ManagedMachine, key: AttemptKey, task: TaskStatus
     ) -> None:
         desired = machine.desired_attempts.get(key)
+        if key in machine.terminated and task.status != TaskState.ENDED:
+            _stop_rerun(machine, key, task)
         if task.status in ("gathering", "running", "saving") and desired:
             self.image_caches.record_use(machine, desired.image, desired.image_gb)
         if task.status != "ended":
@@ -174,6 +183,24 @@
             )
 
 
+def _stop_rerun(machine: ManagedMachine, key: AttemptKey, task: TaskStatus) -> None:
+    """Have an attempt stopped that runs although it was declared over under this fencing token.
+
+    Its task may run elsewhere by now, so the stop waits for no record to be read. What started the
+    attempt is unknown, so it counts as started under the present command token.
+    """
+    invariants.check(
+        Invariant.ATTEMPT_RUNS_ONCE,
+        False,
+        lambda: (
+            f"{key} on {machine.info.name} is {task.status}, and was {machine.terminated[key]} "
+            f"before under fencing token {machine.fencing_token}"
+        ),
+    )
+    machine.starts[key] = SentStart(machine.agent_epoch, machine.command_token, is_answered=True)
+    machine.orphaned.add(key)
+
+
 def _is_newer(machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> bool:
     """Return whether the heartbeat is this machine's and newer than the known state."""
     return (
@@ -198,20 +225,20 @@
 
 
 def _observe_token_and_notice(machine: ManagedMachine, heartbeat: WorkerHeartbeat) -> bool:
-    """Update the confirmation of the command token and the machine's termination notice.
+    """Update the token that the worker has confirmed and the machine's termination notice.
 
-    Return whether the token is newly confirmed, or a notice has appeared or disappeared.
+    Return whether commands may be due for any attempt: the worker has confirmed the shard's token,
+    or a notice has appeared or disappeared.
     """
-    had_confirmed = machine.has_confirmed_token
+    had_confirmed = machine.has_confirmed_fencing_token
     had_notice = machine.termination_notice_s is not None
     machine.termination_notice_s = heartbeat.termination_notice_s
-    machine.has_confirmed_token = (
-        had_confirmed or heartbeat.observed_fencing_token == machine.command_token
-    )
-    # A worker that has confirmed the command token rejects answers of a previous holder.
-    machine.is_exclusive = machine.is_exclusive or machine.has_confirmed_token
+    if heartbeat.observed_fencing_token <= machine.command_token:
+        machine.confirmed_token = heartbeat.observed_fencing_token
+    # A worker that has confirmed the shard's token rejects answers of a previous holder.
+    machine.is_exclusive = machine.is_exclusive or machine.has_confirmed_fencing_token
     has_notice = machine.termination_notice_s is not None
-    return had_confirmed != machine.has_confirmed_token or had_notice != has_notice
+    return had_confirmed != machine.has_confirmed_fencing_token or had_notice != has_notice
 
 
 def _confirm_observation(machine: ManagedMachine) -> None:
--- a/src/beamspar/node/peer_dispatch.py
+++ b/src/beamspar/node/peer_dispatch.py
@@ -76,6 +76,8 @@
             jobs=len(actors.job_controller.jobs),
             machines=len(actors.machine_controller.machines),
             unconfirmed_heartbeats=actors.machine_controller.observer.unconfirmed_heartbeats,
+            raised_tokens=actors.machine_controller.planner.raised_tokens,
+            clears_on_hold=actors.machine_controller.count_clears_on_hold(),
         )
     )
 
--- a/src/beamspar/protocol/peer_messages.py
+++ b/src/beamspar/protocol/peer_messages.py
@@ -156,8 +156,7 @@
     # Its free resources and cached images.
     capacity: MachineCapacity = msgspec.field(name="room")
     fencing_token: int = msgspec.field(name="number")
-    # Its worker has reported the fencing token of the latest commands, so its heartbeats
-    # are complete.
+    # Its worker has reported the shard's fencing token, so its heartbeats are complete.
     has_confirmed_token: bool = msgspec.field(name="fresh")
     # Its worker has sent no heartbeat for so long that its lease has expired.
     is_expired: bool = msgspec.field(name="lost")
@@ -254,6 +253,10 @@
     machines: int
     # Heartbeats of this registration whose worker had not seen its machine's fencing token yet.
     unconfirmed_heartbeats: int = 0
+    # Since the registration: how often a machine's command token was raised. Now: the ended
+    # attempts whose clears wait until the token can be raised.
+    raised_tokens: int = 0
+    clears_on_hold: int = 0
 
 
 class ForwardedRequest(msgspec.Struct):
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -90,6 +90,14 @@
         self.network.alive.discard(self.name)
         self._drop_tasks()
 
+    def restart(self, agent_epoch: int = 1) -> None:
+        """Let the machine be back at once under its name, with nothing that it had in memory."""
+        self._drop_tasks()
+        self.agent_epoch, self.seq, self.fencing_token = agent_epoch, 0, 0
+        self.lease_started_at = self.clock.seconds()
+        self.is_heartbeat_in_flight = False
+        self.schedule_heartbeat()
+
     def _drop_tasks(self) -> None:
         for (task, attempt), state in self.tasks.items():
             self.checker.stop(task, attempt, self.name)
--- a/tests/test_command_planning.py
+++ b/tests/test_command_planning.py
@@ -49,7 +49,7 @@
 def machine(*desired: DesiredAttempt) -> ManagedMachine:
     """Return a machine whose worker has confirmed the command token."""
     host = ManagedMachine(Machine("m-1", "m-1:9", "small", "east"), TOKEN, 0.0, 0.0)
-    host.has_confirmed_token = True
+    host.confirmed_token = TOKEN
     for attempt in desired:
         host.desired_attempts[AttemptKey(attempt.task, attempt.attempt)] = attempt
     host.mark_all_changed()
@@ -71,7 +71,7 @@
         desired_attempt(KEY, DesiredAction.STOP),
         desired_attempt(AttemptKey("j-2/0", 1), DesiredAction.RUN),
     )
-    host.has_confirmed_token = False
+    host.confirmed_token = 0
     assert planner().plan_starts(host) == [] and host.terminated == {}
 
 
@@ -106,10 +106,18 @@
     assert host.terminated == {KEY: AttemptState.GONE}
 
 
-def test_an_executed_attempt_that_is_no_longer_reported_is_declared_gone() -> None:
-    host = machine(desired_attempt(KEY, DesiredAction.RUN))
+def test_an_executed_attempt_that_is_no_longer_reported_is_gone_once_its_start_is_superseded() -> (
+    None
+):
+    """Guards against ran_twice: a copy of the start runs the attempt again beside its next one."""
+    command_planner, host = planner(), machine(desired_attempt(KEY, DesiredAction.RUN))
     record_sent_start(host, is_answered=True, is_indeterminate=False)
-    assert planner().plan_starts(host) == []
+    assert command_planner.plan_starts(host) == [] and host.terminated == {}
+    command_planner.mirror.revision = TOKEN + 1
+    assert command_planner.plan_starts(host) == [] and host.terminated == {}
+    assert host.command_token == TOKEN + 1
+    host.confirmed_token = TOKEN + 1
+    assert command_planner.plan_starts(host) == []
     assert host.terminated == {KEY: AttemptState.GONE}
 
 
@@ -127,7 +135,7 @@
     command_planner.plan_starts(host)
     assert host.command_token == TOKEN + 1 and not host.has_confirmed_token
     assert host.terminated == {}, "the worker has not confirmed the token"
-    host.has_confirmed_token = True
+    host.confirmed_token = TOKEN + 1
     command_planner.plan_starts(host)
     assert host.terminated == {KEY: AttemptState.GONE}
 
@@ -141,15 +149,46 @@
     assert host.command_token == TOKEN and host.terminated == {}
 
 
-def test_an_ended_attempt_is_not_cleared_while_its_start_is_indeterminate() -> None:
+@pytest.mark.parametrize("is_indeterminate", [False, True])
+@pytest.mark.parametrize("is_answered", [False, True])
+@pytest.mark.parametrize("reason", ["done", "error", "stopped", "no_room", "in_use", "unknown"])
+def test_an_ended_attempt_is_cleared_only_under_a_higher_token_than_its_start(
+    reason: str, is_answered: bool, is_indeterminate: bool
+) -> None:
+    """Guards against ran_twice: a copy of the start runs an attempt that the worker forgot."""
+    command_planner, host = planner(), machine(desired_attempt(KEY, DesiredAction.CLEAR))
+    host.tasks[KEY] = TaskStatus(*KEY, "ended", reason)
+    record_sent_start(host, is_answered, is_indeterminate)
+    command_planner.raise_token_for_clears(host)
+    assert command_planner.plan_stops_and_clears(host) == [], "there is no newer revision yet"
+    assert command_planner.clears_on_hold(host) == [KEY]
+    command_planner.mirror.revision = TOKEN + 1
+    command_planner.raise_token_for_clears(host)
+    assert host.command_token == TOKEN + 1
+    assert command_planner.plan_stops_and_clears(host) == [ClearCommand(*KEY)]
+    assert command_planner.clears_on_hold(host) == [] and command_planner.raised_tokens == 1
+
+
+def test_a_clear_of_an_earlier_holders_attempt_needs_no_higher_token() -> None:
     command_planner, host = planner(), machine(desired_attempt(KEY, DesiredAction.CLEAR))
     host.tasks[KEY] = TaskStatus(*KEY, "ended", "done")
-    record_sent_start(host, is_answered=True, is_indeterminate=True)
-    assert command_planner.plan_stops_and_clears(host) == []
-    host.starts[KEY].is_indeterminate = False
+    command_planner.mirror.revision = TOKEN + 1
+    command_planner.raise_token_for_clears(host)
+    assert host.command_token == TOKEN
     assert command_planner.plan_stops_and_clears(host) == [ClearCommand(*KEY)]
 
 
+def test_the_token_is_not_raised_for_clears_while_a_start_is_being_sent() -> None:
+    """Guards against a start that is recorded with another token than the one it carries."""
+    command_planner, host = planner(), machine(desired_attempt(KEY, DesiredAction.CLEAR))
+    host.tasks[KEY] = TaskStatus(*KEY, "ended", "done")
+    record_sent_start(host, is_answered=True, is_indeterminate=False)
+    command_planner.mirror.revision = TOKEN + 1
+    host.is_sending_commands = True
+    command_planner.raise_token_for_clears(host)
+    assert host.command_token == TOKEN
+
+
 @pytest.mark.parametrize("status", ["fetching", "running", "saving"])
 def test_an_attempt_that_is_over_by_its_record_and_runs_is_stopped_at_once(status: str) -> None:
     """Guards against an attempt that runs on beside the next one until its clear expires."""
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -306,7 +306,9 @@
     "heartbeat-answer": heartbeat_response,
     "heartbeat-answer-least": lambda: messages.HeartbeatResponse(False),
     "pulse": lambda: messages.HealthProbeResponse(0.25),
-    "metrics": lambda: messages.Metrics({"an invariant": 1}, 41, 0.25, 12.5, "rig-1", 3, 4, 5),
+    "metrics": lambda: messages.Metrics(
+        {"an invariant": 1}, 41, 0.25, 12.5, "rig-1", 3, 4, 5, 6, 7
+    ),
     "relayed-request": lambda: messages.ForwardedRequest("POST", "/submissions", JOB),
     "relayed-request-least": lambda: messages.ForwardedRequest("GET", "/submissions/j-1"),
     "relayed-answer": lambda: messages.ForwardedResponse(
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -60,7 +60,7 @@
 def controller_with_a_running_task() -> MachineController:
     controller = managing_one_machine()
     machine = controller.machines["m-1"]
-    machine.has_confirmed_token = machine.is_observation_current = True
+    machine.confirmed_token, machine.is_observation_current = machine.fencing_token, True
     machine.tasks[KEY] = TaskStatus(*KEY, "running")
     return controller
 
@@ -78,7 +78,7 @@
     """Guards against a false alarm: the end of what the copy lists may be the one just stored."""
     controller = controller_with_a_running_task()
     mirror, machine = controller.mirror, controller.machines["m-1"]
-    machine.has_confirmed_token = machine.is_observation_current = False
+    machine.confirmed_token, machine.is_observation_current = 0, False
     mirror.observe("c/w/j-1", {"t": 1}, 20)
     mirror._apply("c/w/j-1", None, 21)
     assert controller.planner.plan_stops_and_clears(machine) == [StopCommand(*KEY, 0.0)]
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -6,15 +6,39 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
+import pytest
 from twisted.internet.defer import ensureDeferred
 
+from beamspar import invariants
+from beamspar.invariants import Invariant
+from beamspar.machines.managed_machine import AttemptKey, SentStart
 from beamspar.protocol.codec import unpack
+from beamspar.protocol.peer_messages import AttemptState
+from beamspar.protocol.workers import ClearCommand, StopCommand
 from beamspar.transport.http import HttpRequest
 from tests.standins.workers import Worker
 from tests.standins.world import World
-from tests.test_late_heartbeat_copies import JOB, TASK, world_with_a_running_task
+from tests.test_late_heartbeat_copies import (
+    JOB,
+    OWNER,
+    TASK,
+    ZONE,
+    heartbeat,
+    holder_of,
+    world_with_a_running_task,
+)
+from tests.test_machine_controller import managing_one_machine
+
+
+class StartRequest(NamedTuple):
+    """A request that started the first attempt of the task."""
+
+    source: str
+    address: str
+    body: bytes
 
 
 class StartRecorder:
@@ -22,24 +46,45 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
-        self.requests: list[tuple[str, bytes]] = []
-        self._check_commands = world.network.on_commands
-        world.network.on_commands = self._record
-
-    def _record(self, source: str, body: bytes) -> None:
-        self._check_commands(source, body)
-        starts = [
-            order
-            for order in unpack(body)["orders"]
-            if (order["verb"], order["parcel"], order["try"]) == ("start", *TASK)
-        ]
-        if starts:
-            self.requests.append((source, body))
-
-    def deliver_copies(self, worker: Worker) -> None:
-        """Let the worker receive all of the requests once more."""
-        for source, body in self.requests:
+        self.requests: list[StartRequest] = []
+        self._send = world.network.request
+        world.network.request = self._record  # type: ignore[method-assign]
+
+    def _record(
+        self,
+        source: str,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> Any:
+        if path == "/orders" and body:
+            starts = [
+                order
+                for order in unpack(body)["orders"]
+                if (order["verb"], order["parcel"], order["try"]) == ("start", *TASK)
+            ]
+            if starts:
+                self.requests.append(StartRequest(source, address, body))
+        return self._send(source, method, address, path, body, timeout_s)
+
+    @property
+    def workers(self) -> list[Worker]:
+        """The workers to which the requests were sent."""
+        names = {request.address.partition(":")[0] for request in self.requests}
+        return [self.world.cloud.workers[name] for name in sorted(names)]
+
+    def deliver_copies_later(self, delays_s: list[float]) -> None:
+        """Let the workers receive all of the requests once more after each of these delays."""
+        for delay_s in delays_s:
+            self.world.clock.callLater(delay_s, self.deliver_copies)
+
+    def deliver_copies(self) -> None:
+        """Let the workers receive all of the requests once more."""
+        for source, address, body in list(self.requests):
             self.world.network.caller = source
+            worker = self.world.cloud.workers[address.partition(":")[0]]
             ensureDeferred(worker.handle(HttpRequest("POST", "/orders", {}, body)))
 
 
@@ -64,14 +109,119 @@
         world.run(world.clock.seconds() + 0.02)
 
 
+def fail(world: World, worker: Worker) -> None:
+    worker.finish(TASK, worker.tasks[TASK], "error")
+
+
+def complete(world: World, worker: Worker) -> None:
+    worker.finish(TASK, worker.tasks[TASK], "done")
+
+
+def cancel(world: World, worker: Worker) -> None:
+    world.cancel(JOB, OWNER)
+
+
+def move(world: World, worker: Worker) -> None:
+    """Announce the end of the machine, so that its task moves to another one."""
+    worker.termination_notice_s = 20.0
+    worker.schedule_heartbeat()
+
+
+def preempt(world: World, worker: Worker) -> None:
+    """Submit work of higher priority that needs all machines of the zone."""
+    world.submit("j-9", OWNER, parcels=3, cpus=float(worker.kind["cpus"]), yard=worker.zone)
+
+
+def stay(world: World, worker: Worker) -> None:
+    """Leave the world as it is."""
+
+
+def restart_holder(world: World, worker: Worker) -> None:
+    world.crash(holder_of(world, worker.name), 0.2)
+
+
+def restart_owner(world: World, worker: Worker) -> None:
+    world.crash(OWNER, 0.2)
+
+
+Event = Callable[[World, Worker], None]
+ENDS: list[Event] = [fail, complete, cancel, move, preempt]
+# Long before, shortly before, and after the controller's restart.
+DELAYS_S = [0.05, 1.0, 5.0, 25.0]
+
+
+@pytest.mark.parametrize("restart", [stay, restart_holder, restart_owner])
+@pytest.mark.parametrize("end", ENDS)
+def test_a_late_copy_of_a_start_does_not_run_a_cleared_attempt(end: Event, restart: Event) -> None:
+    """Guards against ran_twice and ran_cancelled, across a restart of a controller."""
+    world, worker, starts = world_with_recorded_start(urgency="low")
+    end(world, worker)
+    run_until_cleared(world, worker)
+    restart(world, worker)
+    starts.deliver_copies_later(DELAYS_S)
+    count = world.checker.start_counts[JOB]
+    world.run(world.clock.seconds() + world.worker_settings["cancel_s"] + 10.0)
+    assert world.checker.broken == []
+    assert TASK not in worker.tasks
+    assert world.checker.start_counts[JOB] <= count + 1, "at most its next attempt has started"
+
+
 def test_a_late_copy_of_a_start_does_not_run_a_failed_attempt_beside_its_next_one() -> None:
     """Guards against ran_twice, as in the incident: the copy came 2.3 s after the answer."""
     world, worker, starts = world_with_recorded_start()
-    worker.finish(TASK, worker.tasks[TASK], "error")
+    fail(world, worker)
     run_until_cleared(world, worker)
     world.run(world.clock.seconds() + 1.4)
     assert world.running(JOB) == 1, "the next attempt runs"
-    starts.deliver_copies(worker)
+    starts.deliver_copies()
     world.run(world.clock.seconds() + 30.0)
     assert world.checker.broken == []
     assert TASK not in worker.tasks and world.running(JOB) == 1
+
+
+def test_a_late_copy_of_a_start_does_not_run_a_refused_attempt() -> None:
+    """Guards against ran_cancelled: the machine has room by the time the copy arrives."""
+    world = World(machines=[{"kind": "small", "zone": ZONE, "count": 3}])
+    world.run(7)
+    starts, workers = StartRecorder(world), list(world.cloud.workers.values())
+    set_cpus(workers, 0.5)
+    world.submit(JOB, OWNER, yard=ZONE)
+    world.run(10)
+    world.cancel(JOB, OWNER)
+    world.run(20)
+    assert starts.requests and all(not worker.tasks for worker in workers), "refused and cleared"
+    set_cpus(workers, 4.0)
+    starts.deliver_copies_later(DELAYS_S)
+    world.run(20 + world.worker_settings["cancel_s"] + 10.0)
+    assert world.checker.broken == [] and JOB not in world.checker.start_counts
+
+
+def set_cpus(workers: list[Worker], cpus: float) -> None:
+    """Let machines have this many CPUs, whatever their type says."""
+    for worker in workers:
+        worker.kind = {**worker.kind, "cpus": cpus}
+
+
+@pytest.mark.parametrize("status", ["fetching", "running", "saving"])
+def test_an_attempt_that_is_over_and_is_reported_as_running_is_stopped_without_a_read(
+    status: str,
+) -> None:
+    """Guards against ran_twice that lasts until the record is read, as in the incident for 5 s."""
+    controller = managing_one_machine()
+    machine = controller.machines["m-1"]
+    machine.terminated[AttemptKey(*TASK)] = AttemptState.GONE
+    reply = controller.handle_heartbeat(heartbeat(1, machine.fencing_token, status))
+    assert reply is not None and reply.commands == [StopCommand(*TASK, 0.0)]
+    assert invariants.violations.pop(Invariant.ATTEMPT_RUNS_ONCE) == 1
+
+
+def test_a_clear_that_supersedes_no_start_does_not_leave() -> None:
+    """Guards against a path of commands that forgets the rule."""
+    controller = managing_one_machine()
+    machine = controller.machines["m-1"]
+    machine.starts[AttemptKey(*TASK)] = SentStart(1, machine.command_token, is_answered=True)
+    clear = ClearCommand(*TASK)
+    assert controller.sender.permitted(machine, [clear]) == []
+    assert invariants.violations.pop(Invariant.CLEAR_SUPERSEDES_START) == 1
+    machine.command_token += 1
+    assert controller.sender.permitted(machine, [clear]) == [clear]
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.standins.history import checked_history
+from tests.standins.repeated_requests import Receiver
 from tests.standins.world import ZONES, World
 
 SEEDS = range(int(os.environ.get("BEAMSPAR_SEEDS", "6")))
@@ -190,6 +191,19 @@
     play(46000 + seed, 1, series=True)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("receiver", Receiver)
+def test_random_faults_with_requests_carried_out_twice(receiver: Receiver, seed: int) -> None:
+    world = play(61000 + seed, 1, repeated=frozenset({receiver}))
+    # On some days the cloud gets no request that changes anything.
+    assert world.network.repeater.counts or receiver is Receiver.CLOUD
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_faults_with_any_requests_carried_out_twice(seed: int) -> None:
+    play(62000 + seed, 1, repeated=frozenset(Receiver))
+
+
 def end_leaders_in_series(world: World, rng: random.Random) -> None:
     """Crash leaders one after the other, pause another controller, and answer accepts late."""
     for number in range(rng.choice([1, 3, 5])):
@@ -230,6 +244,7 @@
     world.network.blocked_pairs.clear()
     world.network.cost_s.clear()
     world.duplicating_heartbeats = (-1.0, 0.0, False)
+    world.network.repeater.stop()
     for pair in list(world.network.cuts):
         world.network.heal(*pair)
     for worker in world.cloud.workers.values():
@@ -259,6 +274,8 @@
     assert unfinished == [], world.clock.seconds()
 
 
+# The share of answered requests that are carried out once more.
+REPEATED_SHARE = 0.5
 ANNOUNCED_LIMITS = {"value_kb": 1.0, "txn_ops": 4, "write_rps": 40.0}
 
 
@@ -269,6 +286,7 @@
     slow: bool = False,
     standby: bool = False,
     series: bool = False,
+    repeated: frozenset[Receiver] = frozenset(),
 ) -> World:
     rng = random.Random(seed)
     slow_rng, series_rng = random.Random(seed), random.Random(seed)
@@ -286,6 +304,8 @@
         ]
         + [{"kind": "small", "zone": "east", "spot": True}],
     )
+    if repeated:
+        world.repeat_requests(REPEATED_SHARE, repeated)
     world.run(5)
     jobs = 0
     not_upgraded = rng.sample(world.names, len(world.names)) if upgrade else []
