A worker that is back without its memory is given the present token before a copy of a start reaches it

Cause: the token that refuses the copy is kept by the worker alone, which has forgotten it. Its holder takes the reports for late copies, tells the worker nothing for a whole lease, and believes the last token that was confirmed.

Change: a report that counts as a late copy and has a lower token than the confirmed one raises the suspicion of a restart, and the holder sends an empty message at once, which gives the worker the present token. A reply that is older than what was known when the message left proves the restart: the token is sent for the worker's own session too, and its lease counts from then, so that what a copy started there is over before its attempts are declared gone.

Not covered: a restart into a session that is below the last one by more than one.

--- a/src/beamspar/machines/command_planning.py
+++ b/src/beamspar/machines/command_planning.py
@@ -276,6 +276,7 @@
             and not due
             and not machine.failed_sends
             and not machine.orphaned
+            and not machine.is_restart_suspected
             and not self.summaries.crowding.are_starts_paused(machine)
             and all(
                 key in machine.desired_attempts
--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -7,11 +7,22 @@
 from beamspar import invariants
 from beamspar.cluster.state_mirror import StateMirror
 from beamspar.invariants import Invariant
-from beamspar.machines.managed_machine import AttemptKey, ManagedMachine, SentStart
+from beamspar.machines.managed_machine import (
+    AttemptKey,
+    HeartbeatId,
+    ManagedMachine,
+    SentStart,
+)
 from beamspar.machines.reconciler import Reconciler
 from beamspar.machines.worker_client import CommandResult, WorkerClient
 from beamspar.machines.worker_observation import WorkerObserver
-from beamspar.protocol.workers import ClearCommand, Command, StartCommand, first_commands
+from beamspar.protocol.workers import (
+    ClearCommand,
+    Command,
+    StartCommand,
+    WorkerHeartbeat,
+    first_commands,
+)
 from beamspar.timeouts import Timeouts
 from beamspar.transport.clock import Clock, run_in_background
 from beamspar.transport.http import CallFailedError
@@ -48,6 +59,7 @@
 
     async def _send(self, machine: ManagedMachine, commands: list[Command]) -> None:
         epoch, token = machine.agent_epoch, machine.command_token
+        newest = HeartbeatId(epoch, machine.observed_seq)
         sent_starts: dict[AttemptKey, SentStart] = {}
         commands = self.permitted(machine, commands)
         for command in commands:
@@ -60,6 +72,9 @@
         except CallFailedError as error:
             self._handle_failure(machine, sent_starts, bool(commands), error)
             return
+        machine.is_restart_suspected = False
+        if _is_older(result.heartbeat, newest):
+            await self._fence_restarted_worker(machine, result.heartbeat)
         machine.is_sending_commands = False
         machine.failed_sends = 0
         machine.last_reply_at = self.clock.seconds()
@@ -79,6 +94,29 @@
             machine.next_send_at = max(machine.next_send_at, earliest)
         self.reconciler.reconcile(machine)
 
+    async def _fence_restarted_worker(
+        self, machine: ManagedMachine, heartbeat: WorkerHeartbeat
+    ) -> None:
+        """Have a restarted worker refuse copies of starts that were sent before its restart.
+
+        Its reply is older than a message received before the request was sent, so it counts its
+        epochs and messages anew, and has forgotten the highest fencing token that it had seen.
+        """
+        self.observer.observe_restart(machine, heartbeat.agent_epoch)
+        if heartbeat.observed_fencing_token >= machine.command_token:
+            return
+        try:
+            await self.workers.send_commands(
+                machine.info.address, machine.command_token, heartbeat.agent_epoch, []
+            )
+        except CallFailedError as error:
+            machine.is_restart_suspected = True
+            log.info(
+                "{machine}: the restarted worker has not confirmed the token, will retry: {error}",
+                machine=machine.info.name,
+                error=error,
+            )
+
     def permitted(self, machine: ManagedMachine, commands: list[Command]) -> list[Command]:
         """Return the commands without those that would violate an invariant.
 
@@ -154,6 +192,10 @@
         machine.is_sending_commands = False
 
 
+def _is_older(heartbeat: WorkerHeartbeat, newest: HeartbeatId) -> bool:
+    return HeartbeatId(heartbeat.agent_epoch, heartbeat.seq) <= newest
+
+
 def _is_clear_permitted(machine: ManagedMachine, key: AttemptKey) -> bool:
     start = machine.starts.get(key)
     start_token = start.fencing_token if start is not None else 0
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -224,7 +224,11 @@
         Return None if this controller must not reply.
         """
         machine = self.managed_machine(heartbeat.machine)
-        if machine is None or not self.observer.accept_heartbeat(machine, heartbeat):
+        if machine is None:
+            return None
+        if not self.observer.accept_heartbeat(machine, heartbeat):
+            if machine.is_restart_suspected:
+                self.reconcile(machine)
             return None
         if machine.is_converged:
             # Nothing was due and nothing has changed: true of most heartbeats of machines with
@@ -285,6 +289,7 @@
         is_reply_wanted = (
             not machine.has_confirmed_token
             or bool(machine.failed_sends)
+            or machine.is_restart_suspected
             or self.summaries.crowding.is_read_due(machine)
         )
         if commands or is_reply_wanted:
--- a/src/beamspar/machines/managed_machine.py
+++ b/src/beamspar/machines/managed_machine.py
@@ -146,6 +146,13 @@
     # Whether nothing is due until something changes, so that the periodic check skips the machine.
     is_converged: bool = False
 
+    # -- a worker that is back without what it had in memory
+
+    # Whether a heartbeat that counts as a late copy may be from a worker that has restarted, and
+    # the last agent epoch in which a worker was found to have restarted.
+    is_restart_suspected: bool = False
+    restarted_epoch: int = 0
+
     # -- commands
 
     is_sending_commands: bool = False
--- a/src/beamspar/machines/worker_observation.py
+++ b/src/beamspar/machines/worker_observation.py
@@ -56,6 +56,9 @@
             # The reply to a late copy would not reach the worker, and counting it as answered
             # would delay the proof that a silent worker's lease has expired.
             log.info("{machine}: ignoring a late copy of a heartbeat", machine=heartbeat.machine)
+            if heartbeat.observed_fencing_token < machine.confirmed_token:
+                machine.is_restart_suspected = True
+                machine.is_converged = False
             return False
         if heartbeat.observed_fencing_token > machine.command_token:
             log.info(
@@ -98,6 +101,24 @@
         if any(task.status != "ended" for task in machine.tasks.values()):
             machine.idle_since = now
 
+    def observe_restart(self, machine: ManagedMachine, agent_epoch: int) -> None:
+        """Record that the worker has restarted and counts its epochs and messages anew.
+
+        What it executes in its present epoch may run for one more lease, although no heartbeat of
+        it is answered.
+        """
+        if machine.restarted_epoch == agent_epoch:
+            return
+        machine.restarted_epoch = agent_epoch
+        now = self.clock.seconds()
+        machine.last_possible_answer_at = max(machine.last_possible_answer_at, now)
+        log.warn(
+            "{machine}: the worker has restarted in agent epoch {epoch}; it is served again once "
+            "that epoch is over",
+            machine=machine.info.name,
+            epoch=agent_epoch,
+        )
+
     def expire(self, machine: ManagedMachine) -> None:
         """Declare all attempts on the machine gone.
 
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -202,6 +202,48 @@
         worker.kind = {**worker.kind, "cpus": cpus}
 
 
+# A copy that arrives before the restarted worker has heard of any token can't be refused by anyone
+# (docs/questions.md).
+DELAYS_AFTER_RESTART_S = [1.0, 5.0, 12.0]
+
+
+@pytest.mark.parametrize("sent_before", [0, 500])
+@pytest.mark.parametrize("agent_epoch", [1, 2])
+@pytest.mark.parametrize("delay_s", DELAYS_AFTER_RESTART_S)
+def test_a_late_copy_of_a_start_does_not_run_a_cleared_attempt_on_a_machine_that_is_back(
+    delay_s: float, agent_epoch: int, sent_before: int
+) -> None:
+    """Guards against ran_twice: the restarted worker has forgotten the token that refuses it."""
+    world, worker, starts = world_with_recorded_start()
+    worker.seq += sent_before
+    fail(world, worker)
+    run_until_cleared(world, worker)
+    world.run(world.clock.seconds() + 1.4)
+    worker.restart(agent_epoch)
+    starts.deliver_copies_later([delay_s])
+    world.run(world.clock.seconds() + 60.0)
+    assert world.checker.broken == []
+    assert TASK not in worker.tasks and world.running(JOB) == 1
+
+
+@pytest.mark.parametrize("sent_before", [0, 500])
+@pytest.mark.parametrize("agent_epoch", [1, 2])
+@pytest.mark.parametrize("delay_s", [0.05, *DELAYS_AFTER_RESTART_S, 14.0])
+def test_a_late_copy_of_a_start_on_a_machine_that_is_back_does_not_run_beside_the_next_attempt(
+    delay_s: float, agent_epoch: int, sent_before: int
+) -> None:
+    """Guards against ran_twice: the copy runs until the lease of the new session is over."""
+    world, worker, starts = world_with_recorded_start()
+    worker.seq += sent_before
+    # The former lease has been running out for two seconds when the new one begins.
+    world.run(world.clock.seconds() + 5.0)
+    world.run(worker.last_sent + 2.0)
+    worker.restart(agent_epoch)
+    starts.deliver_copies_later([delay_s])
+    world.run(world.clock.seconds() + 80.0)
+    assert world.checker.broken == [] and world.running(JOB) == 1
+
+
 @pytest.mark.parametrize("status", ["fetching", "running", "saving"])
 def test_an_attempt_that_is_over_and_is_reported_as_running_is_stopped_without_a_read(
     status: str,
