Starts leave in the message that raises the token

Cause: with clears only under a raised token, a start beside a clear waited for another message: the reply that confirms the raise.

Change: starts need the shard's token confirmed, as before, not a raise of our own: the worker observes a message's token before its commands, and a start under the raised token that was never cleared meets the worker's record as ever. So a clear and the next start take one message, as before the fix.

--- a/src/beamspar/machines/command_planning.py
+++ b/src/beamspar/machines/command_planning.py
@@ -121,7 +121,7 @@
         the command token to supersede starts that must not be executed any more.
         """
         commands: list[Command] = []
-        if not machine.has_confirmed_token:
+        if not machine.has_confirmed_fencing_token:
             return commands
         absent = [
             (key, machine.desired_attempts[key])
@@ -324,8 +324,8 @@
     Its desired action is to stop or clear it, its job is cancelled, or it has run already.
     """
     if start is None:
-        # A heartbeat that confirms the command token does not list it, commands under older tokens
-        # are fenced out, and no start was sent under this one.
+        # A heartbeat that confirms the shard's token does not list it, commands of earlier holders
+        # are fenced out, and this one sent no start.
         return NextStep.DECLARE_GONE
     if machine.is_superseded(start):
         return NextStep.DECLARE_GONE
--- a/src/beamspar/machines/command_sending.py
+++ b/src/beamspar/machines/command_sending.py
@@ -136,7 +136,7 @@
         is_cancelled = self.mirror.is_cancelled(key.job)
         is_over = key in machine.terminated
         is_permitted = (
-            machine.has_confirmed_token
+            machine.has_confirmed_fencing_token
             and self.mirror.is_current()
             and not is_cancelled
             and not is_over
@@ -146,7 +146,8 @@
             is_permitted,
             lambda: (
                 f"{key} on {machine.info.name}: cancelled {is_cancelled}, over {is_over}, token "
-                f"confirmed {machine.has_confirmed_token}, mirror {self.mirror.age_s():.1f} s old"
+                f"confirmed {machine.has_confirmed_fencing_token}, mirror "
+                f"{self.mirror.age_s():.1f} s old"
             ),
         )
 
--- a/src/beamspar/machines/machine_controller.py
+++ b/src/beamspar/machines/machine_controller.py
@@ -275,17 +275,16 @@
             self.planner.raise_token_for_clears(machine)
         starts = self.planner.plan_starts(machine)
         due = self.planner.plan_stops_and_clears(machine) + starts
-        # No start is based on a mirror that may lack a cancellation, or leaves under a token that
-        # was raised meanwhile.
-        may_start = self.mirror.is_current() and machine.has_confirmed_token
-        commands = due if may_start else [c for c in due if c not in starts]
+        # No start is based on a mirror that may lack a cancellation.
+        commands = due if self.mirror.is_current() else [c for c in due if c not in starts]
         self.publisher.publish(machine)
         self.planner.update_convergence(machine, due)
         if machine.is_sending_commands or now < machine.next_send_at:
             return
         # Even without commands, a message is sent if the worker has not confirmed the command token
-        # or the last message failed: nothing is started until the worker replies. Until the shard's
-        # token is confirmed, the message carries no commands.
+        # or the last message failed. Until the shard's token is confirmed, the message carries no
+        # commands; a raise of our own needs no confirmation before the next start, for the worker
+        # observes the message's token first.
         is_reply_wanted = (
             not machine.has_confirmed_token
             or bool(machine.failed_sends)
