--- a/tests/soak_day.py
+++ b/tests/soak_day.py
@@ -46,6 +46,8 @@
 STALL_CHECK_INTERVAL_S = 0.02
 EXIT_CHECK_INTERVAL_S = 0.5
 SUBMISSION_PAUSE_S = (0.15, 0.5)
+# The least share of answered requests that are carried out once more while that fault lasts.
+MIN_REPEATED_SHARE = 0.4
 # After the last fault: until all services are cancelled, and until all answers must have come.
 SETTLE_S = 6.0
 # Log texts of a controller that mean a bug.
@@ -263,6 +265,10 @@
         until = self.clock.seconds() + fault.duration_s
         self.world.duplicating_heartbeats = (until, fault.share, fault.both_ways)
 
+    def _begin_repeated_requests(self, fault: Fault) -> None:
+        self.world.repeat_requests(max(fault.share, MIN_REPEATED_SHARE))
+        self.clock.callLater(fault.duration_s, self.world.network.repeater.stop)
+
     def _begin_outage(self, fault: Fault) -> None:
         self.world.state.set_outage(True)
         self.clock.callLater(fault.duration_s, self.world.state.set_outage, False)
@@ -302,6 +308,7 @@
         world.state.refused_hosts.clear()
         world.state.late_share = network.lost_share = 0.0
         network.delays.clear()
+        network.repeater.stop()
         network.blocked_pairs.clear()
         world.duplicating_heartbeats = (-1.0, 0.0, False)
         for pair in list(network.cuts):
--- a/tests/soak_schedule.py
+++ b/tests/soak_schedule.py
@@ -30,6 +30,8 @@
     "late_answers",
     "late_commands",
     "late_reports",
+    "repeated_requests",
+    "repeated_requests",
     "outage",
     "refuse_leader_then_outage",
     "hang",
--- a/tests/test_heartbeat_size.py
+++ b/tests/test_heartbeat_size.py
@@ -92,6 +92,22 @@
     assert world.checker.broken == []
 
 
+def test_a_full_machine_whose_ended_tasks_cannot_be_cleared_for_long_is_not_lost() -> None:
+    # No controller hears of a newer revision while the second thousand of tasks starts and ends.
+    world = world_of_big_machines(1)
+    world.submit("j-1", parcels=2 * SMALL_TASKS, run_s=4.0, **SMALL)
+    world.run(12)
+    world.state.late_watches.update(dict.fromkeys(world.names, 12.0))
+    world.run(24)
+    (worker,) = world.cloud.workers.values()
+    ended = [task for task in worker.tasks.values() if task["status"] == "ended"]
+    assert len(ended) > 500, "the clears are on hold"
+    world.state.late_watches.clear()
+    run_until_done(world, "j-1", 100)
+    assert lost_machines(world) == []
+    assert world.checker.broken == []
+
+
 def test_a_full_machine_whose_tasks_are_all_cancelled_is_not_lost() -> None:
     # One message can't carry the stops of all tasks.
     world = world_of_big_machines(1)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -12,6 +12,7 @@
 import pytest
 
 from tests.standins.net import Network
+from tests.standins.repeated_requests import Receiver
 from tests.standins.world import World
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.toml"))
@@ -132,6 +133,12 @@
     elif do == "copies":
         until = world.clock.seconds() + step["for_s"]
         world.duplicating_heartbeats = (until, step["share"], step.get("for_next", False))
+    elif do == "repeat":
+        # This share of answered requests arrives once more, also after the step that stops it.
+        if step["share"]:
+            world.repeat_requests(step["share"], frozenset(map(Receiver, step["at_the"])))
+        else:
+            world.network.repeater.stop()
     elif do == "cancel":
         jobs = [j for j in world.checker.accepted if j.startswith(step["job"])]
         jobs = [j for j in jobs if world.machines_of(j) and j not in world.checker.final_states]
