--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -257,6 +257,19 @@
     assert invariants.violations.pop(Invariant.ATTEMPT_RUNS_ONCE) == 1
 
 
+def test_what_runs_on_a_restarted_worker_is_not_gone_before_its_present_lease_is_over() -> None:
+    """Guards against ran_twice: a copy of the start runs on in the session after the restart."""
+    controller = managing_one_machine()
+    machine, clock = controller.machines["m-1"], controller.clock
+    expiry_s = controller.timeouts.worker_expiry_s
+    machine.last_possible_answer_at = clock.seconds() - expiry_s
+    controller.observer.observe_restart(machine, 1)
+    assert machine.last_possible_answer_at == clock.seconds()
+    clock.advance_to(1.0)
+    controller.observer.observe_restart(machine, 1)
+    assert machine.last_possible_answer_at == clock.seconds() - 1.0, "counted once for a session"
+
+
 def test_a_clear_that_supersedes_no_start_does_not_leave() -> None:
     """Guards against a path of commands that forgets the rule."""
     controller = managing_one_machine()
